--- /dev/null
+++ b/internal/base/coder/code.go
@@ -0,0 +1,81 @@
+// Package coder numbers the results that callers and operators can see.
+//
+// Every refusal and failure that leaves the system carries one Code. The
+// number is stable, so scripts and alerts can rely on it; the text may change.
+// Codes are grouped by hundreds: 1xx bad input, 2xx authentication, 3xx
+// configuration, 4xx limits and capacity, 5xx endpoints, 6xx platform, 7xx
+// authority, 8xx idempotency, 9xx internal. docs/result-codes.md has the table.
+package coder
+
+// Code is the stable number of a result.
+type Code int
+
+// The result codes; docs/result-codes.md explains each.
+const (
+	OK Code = 0
+
+	MalformedBody   Code = 101
+	BodyTooLarge    Code = 102
+	MalformedHeader Code = 103
+	UnknownModel    Code = 104
+	UnknownPath     Code = 105
+	SlowCaller      Code = 106
+	MethodNotServed Code = 107
+	CallerGone      Code = 108
+
+	KeyMissing         Code = 201
+	KeyUnknown         Code = 202
+	KeyNotForRoute     Code = 203
+	ViewNotCurrent     Code = 204
+	OperatorCredential Code = 205
+
+	ConfigSyntax        Code = 301
+	ConfigUnknownKey    Code = 302
+	ConfigBadValue      Code = 303
+	ConfigDangling      Code = 304
+	ConfigDuplicate     Code = 305
+	ConfigConflict      Code = 306
+	ConfigNotInForce    Code = 307
+	ConfigFileUnknown   Code = 308
+	ConfigNotLoaded     Code = 309
+	ConfigMissingKey    Code = 310
+	ConfigOutcomeUnsure Code = 311
+
+	DeadlinePassed  Code = 401
+	QueueFull       Code = 402
+	RateLimited     Code = 403
+	ConcurrencyFull Code = 404
+	NoEndpoint      Code = 405
+	WouldMissTime   Code = 406
+	ShuttingDown    Code = 407
+
+	EndpointUnreachable Code = 501
+	EndpointFailed      Code = 502
+	AnswerCut           Code = 503
+	AnswerCrossed       Code = 504
+	EndpointRefused     Code = 505
+
+	PlatformUnavailable Code = 601
+	PlatformConflict    Code = 602
+	PlatformRefused     Code = 603
+	PlatformUnsure      Code = 604
+	ObjectUnknown       Code = 605
+	ObjectExists        Code = 606
+	RowUnknown          Code = 607
+	BudgetSpent         Code = 608
+
+	LeaseNotHeld  Code = 701
+	StaleFencing  Code = 702
+	OrderPending  Code = 703
+	OrderConflict Code = 704
+
+	ClaimInProgress   Code = 801
+	ClaimOtherBody    Code = 802
+	ClaimOutcomeLost  Code = 803
+	ClaimUnavailable  Code = 804
+	ClaimKeyMalformed Code = 805
+
+	Internal       Code = 901
+	SettingsBad    Code = 902
+	NodeNotReached Code = 903
+)
--- /dev/null
+++ b/internal/base/coder/error.go
@@ -0,0 +1,116 @@
+package coder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Outcome says what is known about the effect of a refused or failed request.
+type Outcome int
+
+// The outcomes of a request that got no whole answer.
+const (
+	// Unknown means that an endpoint may have run the request.
+	Unknown Outcome = iota
+	// NotRun means that no endpoint can have begun to run the request.
+	NotRun
+)
+
+// String returns the outcome as the Foxtailflow-Outcome header has it.
+func (o Outcome) String() string {
+	if o == NotRun {
+		return "not-run"
+	}
+	return "unknown"
+}
+
+// Error is a result that is not OK.
+//
+// It is an immutable value; the With methods return changed copies.
+type Error struct {
+	code       Code
+	outcome    Outcome
+	message    string
+	retryAfter time.Duration
+	cause      error
+}
+
+// New returns an error with the given code, the outcome Unknown and a message.
+func New(code Code, format string, args ...any) Error {
+	return Error{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// Refuse returns an error with the outcome NotRun.
+func Refuse(code Code, format string, args ...any) Error {
+	return New(code, format, args...).WithOutcome(NotRun)
+}
+
+// Wrap returns an error with the given code that keeps cause.
+func Wrap(code Code, cause error, format string, args ...any) Error {
+	return New(code, format, args...).WithCause(cause)
+}
+
+// WithOutcome returns a copy with the outcome o.
+func (e Error) WithOutcome(o Outcome) Error {
+	e.outcome = o
+	return e
+}
+
+// WithRetryAfter returns a copy that advises to retry after d.
+func (e Error) WithRetryAfter(d time.Duration) Error {
+	e.retryAfter = d
+	return e
+}
+
+// WithCause returns a copy that keeps cause, with its stack.
+func (e Error) WithCause(cause error) Error {
+	if cause != nil {
+		e.cause = eris.Wrap(cause, e.message)
+	}
+	return e
+}
+
+// Code returns the result code.
+func (e Error) Code() Code { return e.code }
+
+// Outcome returns what is known about the request's effect.
+func (e Error) Outcome() Outcome { return e.outcome }
+
+// RetryAfter returns the advised delay, or 0 where none helps.
+func (e Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// Message returns the text without the code and the cause.
+func (e Error) Message() string { return e.message }
+
+// Unwrap returns the cause.
+func (e Error) Unwrap() error { return e.cause }
+
+// Error returns the code, the message and the cause.
+func (e Error) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("%d: %v", e.code, e.cause)
+	}
+	return fmt.Sprintf("%d: %s", e.code, e.message)
+}
+
+// Of returns err as an Error; errors of other types become Internal.
+func Of(err error) Error {
+	var e Error
+	if errors.As(err, &e) {
+		return e
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Wrap(DeadlinePassed, err, "the deadline has passed")
+	}
+	return Wrap(Internal, err, "internal error")
+}
+
+// Is reports whether err carries the given code.
+func Is(err error, code Code) bool {
+	var e Error
+	return errors.As(err, &e) && e.code == code
+}
--- /dev/null
+++ b/internal/base/runner/pool.go
@@ -0,0 +1,82 @@
+// Package runner runs work on a bounded number of goroutines.
+//
+// A Pool has a fixed number of workers that take jobs from one source, such as
+// a shared queue table. A worker that finds no job blocks in the source until
+// there is one. Periodic runs a task again and again with a delay that varies
+// a little, so that many nodes that started together do not act together.
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+)
+
+// Source hands out jobs.
+type Source[J any] interface {
+	// Next blocks until there is a job; false means that there is none any more.
+	Next(ctx context.Context) (J, bool)
+}
+
+// Pool runs a handler over the jobs of a source on a fixed number of workers.
+type Pool[J any] struct {
+	// Workers is the number of goroutines; 0 means 1.
+	Workers int
+	// Source hands out the jobs.
+	Source Source[J]
+	// Handle runs one job.
+	Handle func(ctx context.Context, job J)
+}
+
+// Run works until the source ends or ctx is done, and returns after the last job.
+func (p Pool[J]) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	for range max(p.Workers, 1) {
+		wg.Go(func() { p.work(ctx) })
+	}
+	wg.Wait()
+}
+
+func (p Pool[J]) work(ctx context.Context) {
+	for {
+		job, ok := p.Source.Next(ctx)
+		if !ok {
+			return
+		}
+		p.Handle(ctx, job)
+	}
+}
+
+// Periodic is a task that runs again and again.
+type Periodic struct {
+	// Name stands in the log line of a failure.
+	Name string
+	// Every is the mean delay between two runs.
+	Every time.Duration
+	// Jitter is the share of Every by which the delay varies; 0.2 means ±20%.
+	Jitter float64
+	// Task is run; its error is logged.
+	Task func(ctx context.Context) error
+}
+
+// Run runs the task until ctx is done.
+func (p Periodic) Run(ctx context.Context, clock timekeeper.Clock, log zerolog.Logger) {
+	for {
+		if err := p.Task(ctx); err != nil && ctx.Err() == nil {
+			log.Warn().Str("task", p.Name).Err(err).Msg("periodic task failed")
+		}
+		if clock.Sleep(ctx, p.delay()) != nil {
+			return
+		}
+	}
+}
+
+func (p Periodic) delay() time.Duration {
+	f := 1 + p.Jitter*(2*rand.Float64()-1)
+	return time.Duration(float64(p.Every) * f)
+}
