--- /dev/null
+++ b/internal/lab/provider/memory.go
@@ -0,0 +1,198 @@
+// Package provider is a stand-in for the platform.
+//
+// Memory is the table, object store, VM list and the receivers of orders and
+// reports in one value, kept in memory. Server puts it behind HTTP as its own
+// process. Faults are set by name: delay, outage, rate limits, and an answer
+// that is lost after its call took effect. Whatever the stand-in receives is
+// recorded, so that a test can judge what really arrived.
+package provider
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// Memory is a platform kept in memory.
+type Memory struct {
+	// Clock times delays, the list's lag and the record; it must be set.
+	Clock timekeeper.Clock
+	// Lag is the age of the VM list.
+	Lag time.Duration
+	// RefuseStale makes the receivers of orders refuse an old fencing token.
+	RefuseStale bool
+
+	mu      sync.Mutex
+	commits uint64
+	rows    map[string]transactor.Row
+	objects map[string][]byte
+	vms     []listing
+	orders  map[string]transactor.EndpointOrder
+	reports map[string]transactor.UsageReport
+	fencing map[string]uint64
+	faults  Faults
+	record  []string
+	reads   int64
+	writes  int64
+}
+
+type listing struct {
+	at  time.Time
+	vms []transactor.VM
+}
+
+var _ transactor.Platform = (*Memory)(nil)
+
+// Counts returns how many reads and writes the table and object store served.
+func (m *Memory) Counts() (reads, writes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.writes
+}
+
+// Record returns a line for each thing that the platform received.
+func (m *Memory) Record() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.record)
+}
+
+func (m *Memory) note(format string, args ...any) {
+	m.record = append(m.record, fmt.Sprintf(format, args...))
+}
+
+// Store returns the object store.
+func (m *Memory) Store() transactor.Objects { return objects{m} }
+
+// Get returns a row.
+func (m *Memory) Get(ctx context.Context, key string) (transactor.Row, error) {
+	if err := m.admit(ctx, opRead); err != nil {
+		return transactor.Row{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rows[key]
+	if !ok {
+		return transactor.Row{}, coder.Refuse(coder.RowUnknown, "there is no row %q", key)
+	}
+	return r, nil
+}
+
+// Scan returns rows in the order of their keys.
+func (m *Memory) Scan(ctx context.Context, prefix, after string, limit int) ([]transactor.Row, error) {
+	if err := m.admit(ctx, opRead); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var keys []string
+	for k := range m.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	if limit > 0 && len(keys) > limit {
+		keys = keys[:limit]
+	}
+	rows := make([]transactor.Row, 0, len(keys))
+	for _, k := range keys {
+		rows = append(rows, m.rows[k])
+	}
+	return rows, nil
+}
+
+// Commit runs a transaction.
+func (m *Memory) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+	if err := m.admit(ctx, opWrite); err != nil {
+		return 0, err
+	}
+	version, err := m.commit(tx)
+	if err != nil {
+		return 0, err
+	}
+	return version, m.answer(ctx, opWrite)
+}
+
+func (m *Memory) commit(tx transactor.Tx) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range tx.Checks() {
+		if have := m.rows[c.Key].Version; have != c.Version {
+			return 0, coder.Refuse(coder.PlatformConflict, "row %q has version %d, not %d", c.Key, have, c.Version)
+		}
+	}
+	m.commits++
+	if m.rows == nil {
+		m.rows = make(map[string]transactor.Row)
+	}
+	for _, w := range tx.Writes() {
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = transactor.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: m.commits}
+	}
+	return m.commits, nil
+}
+
+type objects struct{ m *Memory }
+
+// Put stores an object under a new name.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	if err := o.m.admit(ctx, opWrite); err != nil {
+		return err
+	}
+	o.m.mu.Lock()
+	_, taken := o.m.objects[name]
+	if !taken {
+		if o.m.objects == nil {
+			o.m.objects = make(map[string][]byte)
+		}
+		o.m.objects[name] = slices.Clone(data)
+	}
+	o.m.mu.Unlock()
+	if taken {
+		return coder.Refuse(coder.ObjectExists, "object %q exists", name)
+	}
+	return o.m.answer(ctx, opWrite)
+}
+
+// Get returns an object.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := o.m.admit(ctx, opRead); err != nil {
+		return nil, err
+	}
+	o.m.mu.Lock()
+	defer o.m.mu.Unlock()
+	data, ok := o.m.objects[name]
+	if !ok {
+		return nil, coder.Refuse(coder.ObjectUnknown, "there is no object %q", name)
+	}
+	return slices.Clone(data), nil
+}
+
+// List returns the names with the prefix, in order.
+func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
+	if err := o.m.admit(ctx, opRead); err != nil {
+		return nil, err
+	}
+	o.m.mu.Lock()
+	defer o.m.mu.Unlock()
+	var names []string
+	for n := range o.m.objects {
+		if strings.HasPrefix(n, prefix) {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
--- /dev/null
+++ b/internal/lab/provider/server.go
@@ -0,0 +1,233 @@
+package provider
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/platform/encoder"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// Server serves a Memory over HTTP.
+type Server struct {
+	Memory *Memory
+}
+
+// maxRequest bounds the body of one request, in bytes.
+const maxRequest = 16 << 20
+
+// Handler returns the platform's HTTP interface and the controls of the stand-in.
+func (s Server) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/table/commit", s.commit)
+	r.GET("/table/row", s.row)
+	r.GET("/table/rows", s.rows)
+	r.PUT("/objects/*name", s.putObject)
+	r.GET("/objects/*name", s.getObject)
+	r.GET("/objects", s.listObjects)
+	r.POST("/endpoints/orders", s.order)
+	r.GET("/endpoints/orders/:id", s.ordered)
+	r.POST("/usage/reports", s.report)
+	r.GET("/usage/reports/:id", s.reported)
+	r.GET("/vms", s.listVMs)
+	r.GET("/weights/:name", s.weights)
+	r.POST("/lab/faults", s.setFaults)
+	r.POST("/lab/vms", s.setVMs)
+	r.GET("/lab/record", s.record)
+	r.GET("/lab/counts", s.counts)
+	return r
+}
+
+func answer(w http.ResponseWriter, data []byte, err error) {
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	f := coder.Of(err)
+	if f.Code() == coder.PlatformUnsure {
+		// The connection is cut, as a lost answer looks to the caller.
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(encoder.Status(f))
+	_, _ = w.Write(encoder.EncodeFailure(f))
+}
+
+func body(r *http.Request) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(r.Body, maxRequest))
+}
+
+func (s Server) commit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		return
+	}
+	tx, err := encoder.DecodeTx(data)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	version, err := s.Memory.Commit(r.Context(), tx)
+	answer(w, encoder.EncodeVersion(version), err)
+}
+
+func (s Server) row(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	row, err := s.Memory.Get(r.Context(), r.URL.Query().Get("key"))
+	answer(w, encoder.EncodeRows([]transactor.Row{row}), err)
+}
+
+func (s Server) rows(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	rows, err := s.Memory.Scan(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+	answer(w, encoder.EncodeRows(rows), err)
+}
+
+func objectName(ps httprouter.Params) string {
+	return strings.TrimPrefix(ps.ByName("name"), "/")
+}
+
+func (s Server) putObject(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		return
+	}
+	answer(w, nil, s.Memory.Store().Put(r.Context(), objectName(ps), data))
+}
+
+func (s Server) getObject(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	data, err := s.Memory.Store().Get(r.Context(), objectName(ps))
+	answer(w, data, err)
+}
+
+func (s Server) listObjects(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	names, err := s.Memory.Store().List(r.Context(), r.URL.Query().Get("prefix"))
+	answer(w, encoder.EncodeNames(names), err)
+}
+
+func (s Server) order(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		return
+	}
+	o, err := encoder.DecodeOrder(data)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, nil, s.Memory.Order(r.Context(), o))
+}
+
+func (s Server) ordered(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	ok, err := s.Memory.Ordered(r.Context(), ps.ByName("id"))
+	answerExists(w, ok, err)
+}
+
+func answerExists(w http.ResponseWriter, ok bool, err error) {
+	if err == nil && !ok {
+		err = coder.Refuse(coder.RowUnknown, "not received")
+	}
+	answer(w, nil, err)
+}
+
+func (s Server) report(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		return
+	}
+	u, err := encoder.DecodeReport(data)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, nil, s.Memory.Report(r.Context(), u))
+}
+
+func (s Server) reported(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	ok, err := s.Memory.Reported(r.Context(), ps.ByName("id"))
+	answerExists(w, ok, err)
+}
+
+func (s Server) listVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	vms, age, err := s.Memory.List(r.Context())
+	w.Header().Set("Platform-List-Age-Ms", strconv.FormatInt(age.Milliseconds(), 10))
+	answer(w, encoder.EncodeVMs(vms), err)
+}
+
+func (s Server) weights(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	n, err := s.Memory.Fetch(r.Context(), ps.ByName("name"))
+	answer(w, strconv.AppendInt(nil, n, 10), err)
+}
+
+// setFaults takes the faults as query values; those not named are cleared.
+func (s Server) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	f, err := parseFaults(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Memory.SetFaults(f)
+}
+
+func parseFaults(q url.Values) (f Faults, err error) {
+	for name := range q {
+		v := q.Get(name)
+		switch name {
+		case "delay":
+			f.Delay, err = time.ParseDuration(v)
+		case "table-down":
+			f.TableDown, err = strconv.ParseBool(v)
+		case "fleet-down":
+			f.FleetDown, err = strconv.ParseBool(v)
+		case "lose-answers":
+			f.LoseAnswers, err = strconv.ParseFloat(v, 64)
+		case "weights-delay":
+			f.WeightsDelay, err = time.ParseDuration(v)
+		case "reads-per-second":
+			f.ReadsPerSecond, err = strconv.Atoi(v)
+		case "writes-per-second":
+			f.WritesPerSecond, err = strconv.Atoi(v)
+		default:
+			err = fmt.Errorf("there is no fault %q", name)
+		}
+		if err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (s Server) setVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := body(r)
+	if err != nil {
+		return
+	}
+	vms, err := encoder.DecodeVMs(data)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	s.Memory.SetVMs(vms)
+}
+
+func (s Server) record(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	for _, line := range s.Memory.Record() {
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
+
+func (s Server) counts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	reads, writes := s.Memory.Counts()
+	_, _ = fmt.Fprintf(w, "reads=%d writes=%d\n", reads, writes)
+}
--- /dev/null
+++ b/internal/platform/connector/client.go
@@ -0,0 +1,235 @@
+// Package connector reaches the platform over HTTP.
+//
+// It turns each call of the platform's interfaces into one HTTP request and
+// never repeats it: whether a call may be repeated is the caller's decision.
+// A call that may have taken effect without an answer fails with
+// PlatformUnsure; one that cannot have reached the platform fails with
+// PlatformUnavailable.
+package connector
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/platform/encoder"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// Client is the platform behind a base address such as "http://127.0.0.1:7000".
+type Client struct {
+	// Base is the address of the platform, without a slash at the end.
+	Base string
+	// Transport carries the requests; nil means http.DefaultTransport.
+	Transport http.RoundTripper
+	// Timeout bounds one call; 0 means 2 s.
+	Timeout time.Duration
+}
+
+var _ transactor.Platform = Client{}
+
+// WithTransport returns a copy that sends through t.
+func (c Client) WithTransport(t http.RoundTripper) Client {
+	c.Transport = t
+	return c
+}
+
+const (
+	defaultTimeout = 2 * time.Second
+	// maxAnswer bounds what is read of one answer, in bytes.
+	maxAnswer = 64 << 20
+	// ageHeader carries the age of the VM list in milliseconds.
+	ageHeader = "Platform-List-Age-Ms"
+)
+
+// Get returns a row.
+func (c Client) Get(ctx context.Context, key string) (transactor.Row, error) {
+	data, err := c.read(ctx, "/table/row", url.Values{"key": {key}})
+	if err != nil {
+		return transactor.Row{}, err
+	}
+	rows, err := encoder.DecodeRows(data)
+	if err != nil {
+		return transactor.Row{}, err
+	}
+	if len(rows) != 1 {
+		return transactor.Row{}, coder.New(coder.PlatformUnavailable, "%d rows for one key", len(rows))
+	}
+	return rows[0], nil
+}
+
+// Scan returns rows in the order of their keys.
+func (c Client) Scan(ctx context.Context, prefix, after string, limit int) ([]transactor.Row, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	data, err := c.read(ctx, "/table/rows", q)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.DecodeRows(data)
+}
+
+// Commit runs a transaction.
+func (c Client) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+	data, err := c.write(ctx, http.MethodPost, "/table/commit", encoder.EncodeTx(tx))
+	if err != nil {
+		return 0, err
+	}
+	version, err := encoder.DecodeVersion(data)
+	if err != nil {
+		return 0, coder.Wrap(coder.PlatformUnsure, err, "the answer to a commit is malformed")
+	}
+	return version, nil
+}
+
+// Store returns the object store.
+func (c Client) Store() transactor.Objects { return objects{c} }
+
+type objects struct{ c Client }
+
+// Put stores an object under a new name.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := o.c.write(ctx, http.MethodPut, "/objects/"+name, data)
+	return err
+}
+
+// Get returns an object.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return o.c.read(ctx, "/objects/"+name, nil)
+}
+
+// List returns the names with the prefix, in order.
+func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
+	data, err := o.c.read(ctx, "/objects", url.Values{"prefix": {prefix}})
+	if err != nil {
+		return nil, err
+	}
+	return encoder.DecodeNames(data)
+}
+
+// List returns the VM list and its age.
+func (c Client) List(ctx context.Context) ([]transactor.VM, time.Duration, error) {
+	data, header, err := c.call(ctx, http.MethodGet, "/vms", nil)
+	if err != nil {
+		return nil, 0, readFailure(err)
+	}
+	ms, _ := strconv.ParseInt(header.Get(ageHeader), 10, 64)
+	vms, err := encoder.DecodeVMs(data)
+	return vms, time.Duration(ms) * time.Millisecond, err
+}
+
+// Order places an order for endpoints.
+func (c Client) Order(ctx context.Context, o transactor.EndpointOrder) error {
+	_, err := c.write(ctx, http.MethodPost, "/endpoints/orders", encoder.EncodeOrder(o))
+	return err
+}
+
+// Ordered reports whether the platform has received the order.
+func (c Client) Ordered(ctx context.Context, id string) (bool, error) {
+	return c.exists(ctx, "/endpoints/orders/"+url.PathEscape(id))
+}
+
+// Report sends a closed window.
+func (c Client) Report(ctx context.Context, r transactor.UsageReport) error {
+	_, err := c.write(ctx, http.MethodPost, "/usage/reports", encoder.EncodeReport(r))
+	return err
+}
+
+// Reported reports whether the platform has received the window.
+func (c Client) Reported(ctx context.Context, id string) (bool, error) {
+	return c.exists(ctx, "/usage/reports/"+url.PathEscape(id))
+}
+
+// Fetch returns the size of the named weights once they were read.
+func (c Client) Fetch(ctx context.Context, name string) (int64, error) {
+	data, err := c.read(ctx, "/weights/"+url.PathEscape(name), nil)
+	if err != nil {
+		return 0, err
+	}
+	n, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return 0, coder.Wrap(coder.PlatformUnavailable, err, "malformed size of weights")
+	}
+	return n, nil
+}
+
+func (c Client) exists(ctx context.Context, path string) (bool, error) {
+	_, err := c.read(ctx, path, nil)
+	if coder.Is(err, coder.RowUnknown) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// read calls the platform without an effect.
+func (c Client) read(ctx context.Context, path string, q url.Values) ([]byte, error) {
+	if len(q) > 0 {
+		path += "?" + q.Encode()
+	}
+	data, _, err := c.call(ctx, http.MethodGet, path, nil)
+	return data, readFailure(err)
+}
+
+// readFailure names the failure of a call that has no effect.
+func readFailure(err error) error {
+	if coder.Is(err, coder.PlatformUnsure) {
+		return coder.Wrap(coder.PlatformUnavailable, err, "the platform does not answer").WithOutcome(coder.NotRun)
+	}
+	return err
+}
+
+func (c Client) write(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	data, _, err := c.call(ctx, method, path, body)
+	return data, err
+}
+
+func (c Client) call(ctx context.Context, method, path string, body []byte) ([]byte, http.Header, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, coder.Wrap(coder.PlatformRefused, err, "malformed platform address").WithOutcome(coder.NotRun)
+	}
+	// Without GetBody the transport repeats no request on its own.
+	req.GetBody = nil
+	transport := c.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, nil, sendFailure(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, nil, coder.Wrap(coder.PlatformUnsure, err, "the platform's answer was cut")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, nil, encoder.DecodeFailure(data)
+	}
+	return data, resp.Header, nil
+}
+
+// sendFailure tells a call that was never sent from one that may have been.
+func sendFailure(err error) error {
+	var e coder.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return coder.Wrap(coder.PlatformUnavailable, err, "the platform cannot be reached").WithOutcome(coder.NotRun)
+	}
+	return coder.Wrap(coder.PlatformUnsure, err, "the platform did not answer")
+}
