--- /dev/null
+++ b/internal/config/merger/decode.go
@@ -0,0 +1,222 @@
+package merger
+
+import (
+	"net/http"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/config/parser"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// maxCount bounds counts and rates far above the target size, so that sums
+// cannot overflow.
+const maxCount = 100_000_000
+
+var accountFields = fields[definer.Account]{
+	"share":               number(1, 1_000_000, func(a *definer.Account, n int) { a.Share = n }),
+	"max-concurrent":      number(0, maxCount, func(a *definer.Account, n int) { a.MaxConcurrent = n }),
+	"requests-per-second": number(0, maxCount, func(a *definer.Account, n int) { a.RequestsPerSecond = n }),
+	"tokens-per-second":   number(0, maxCount, func(a *definer.Account, n int) { a.TokensPerSecond = n }),
+}
+
+var keyFields = fields[definer.Key]{
+	"client-account": text(func(k *definer.Key, s string) { k.Account = s }),
+	"hash":           hash(func(k *definer.Key, h [32]byte) { k.Hash = h }),
+}
+
+var routeFields = fields[definer.Route]{
+	"access":             choice(func(r *definer.Route, a definer.Access) { r.Access = a }, definer.Open, definer.Keyed),
+	"kind":               choice(func(r *definer.Route, k definer.Kind) { r.Kind = k }, definer.Model, definer.Plain),
+	"path":               text(func(r *definer.Route, s string) { r.Path = s }),
+	"model":              text(func(r *definer.Route, s string) { r.Model = s }),
+	"deployment":         text(func(r *definer.Route, s string) { r.Deployment = s }),
+	"client-accounts":    list(func(r *definer.Route, s []string) { r.Accounts = s }),
+	"idempotent-methods": list(func(r *definer.Route, s []string) { r.Idempotent = s }),
+	"deadline":           duration(10*time.Millisecond, time.Hour, func(r *definer.Route, d time.Duration) { r.Deadline = d }),
+	"priority":           number(0, 9, func(r *definer.Route, n int) { r.Priority = n }),
+	"max-body":           size(0, 1<<30, func(r *definer.Route, n int64) { r.MaxBody = n }),
+}
+
+var ruleFields = fields[definer.Rule]{
+	"deployment":   text(func(r *definer.Rule, s string) { r.Deployment = s }),
+	"attempts":     number(1, 10, func(r *definer.Rule, n int) { r.Attempts = n }),
+	"retry-share":  fraction(0, 1, func(r *definer.Rule, f float64) { r.RetryShare = f }),
+	"backoff":      duration(time.Millisecond, time.Minute, func(r *definer.Rule, d time.Duration) { r.Backoff = d }),
+	"eject-after":  number(1, 1000, func(r *definer.Rule, n int) { r.EjectAfter = n }),
+	"eject-for":    duration(10*time.Millisecond, time.Hour, func(r *definer.Rule, d time.Duration) { r.EjectFor = d }),
+	"idle-timeout": duration(10*time.Millisecond, time.Hour, func(r *definer.Rule, d time.Duration) { r.IdleTimeout = d }),
+}
+
+var deploymentFields = fields[definer.Deployment]{
+	"kind":                   choice(func(d *definer.Deployment, k definer.Kind) { d.Kind = k }, definer.Model, definer.Plain),
+	"model":                  text(func(d *definer.Deployment, s string) { d.Model = s }),
+	"slots":                  number(1, 100_000, func(d *definer.Deployment, n int) { d.Slots = n }),
+	"pieces":                 number(1, maxCount, func(d *definer.Deployment, n int) { d.Pieces = n }),
+	"prefill-rate":           number(1, maxCount, func(d *definer.Deployment, n int) { d.PrefillRate = n }),
+	"decode-rate":            number(1, maxCount, func(d *definer.Deployment, n int) { d.DecodeRate = n }),
+	"order-fencing":          choice(func(d *definer.Deployment, f definer.Fencing) { d.Fencing = f }, definer.FencingChecked, definer.FencingIgnored),
+	"order-connection-limit": duration(0, time.Hour, func(d *definer.Deployment, v time.Duration) { d.OrderConnectionLimit = v }),
+	"role-change":            duration(0, time.Hour, func(d *definer.Deployment, v time.Duration) { d.RoleChange = v }),
+	"max-away":               number(0, 100_000, func(d *definer.Deployment, n int) { d.MaxAway = n }),
+	"adapters":               list(func(d *definer.Deployment, s []string) { d.Adapters = s }),
+	"version":                text(func(d *definer.Deployment, s string) { d.Version = s }),
+}
+
+// placement is a section [placement "NAME"], which belongs to a deployment.
+type placement struct {
+	deployment string
+	definer.Placement
+}
+
+var placementFields = fields[placement]{
+	"deployment":  text(func(p *placement, s string) { p.deployment = s }),
+	"data-centre": text(func(p *placement, s string) { p.DataCentre = s }),
+	"tier":        choice(func(p *placement, t transactor.Tier) { p.Tier = t }, transactor.OnDemand, transactor.Spot),
+	"min":         number(0, 100_000, func(p *placement, n int) { p.Min = n }),
+	"max":         number(0, 100_000, func(p *placement, n int) { p.Max = n }),
+	"cost":        number(0, maxCount, func(p *placement, n int) { p.Cost = n }),
+}
+
+var limitsFields = fields[definer.Limits]{
+	"max-body":     size(1, 1<<30, func(l *definer.Limits, n int64) { l.MaxBody = n }),
+	"max-header":   number(1024, 1<<20, func(l *definer.Limits, n int) { l.MaxHeader = n }),
+	"max-queue":    number(1, 1_000_000, func(l *definer.Limits, n int) { l.MaxQueue = n }),
+	"header-wait":  duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.HeaderWait = d }),
+	"body-wait":    duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.BodyWait = d }),
+	"write-wait":   duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.WriteWait = d }),
+	"claim-for":    duration(time.Minute, 30*24*time.Hour, func(l *definer.Limits, d time.Duration) { l.ClaimFor = d }),
+	"usage-window": duration(time.Second, 24*time.Hour, func(l *definer.Limits, d time.Duration) { l.UsageWindow = d }),
+	"drain-wait":   duration(0, time.Hour, func(l *definer.Limits, d time.Duration) { l.DrainWait = d }),
+	"replay-limit": size(0, 1<<20, func(l *definer.Limits, n int64) { l.ReplayLimit = n }),
+	"usage-groups": number(1, 256, func(l *definer.Limits, n int) { l.UsageGroups = n }),
+	"work-prefill": fraction(0, 1000, func(l *definer.Limits, f float64) { l.WorkPrefill = f }),
+	"work-decode":  fraction(0, 1000, func(l *definer.Limits, f float64) { l.WorkDecode = f }),
+}
+
+// decoder collects definitions by section name, in the order of the settings.
+type decoder struct {
+	accounts    map[string]definer.Account
+	keys        map[string]definer.Key
+	routes      map[string]definer.Route
+	rules       map[string]definer.Rule
+	deployments map[string]definer.Deployment
+	placements  map[string]placement
+	limits      map[string]definer.Limits
+}
+
+func decode(settings []parser.Setting) (definer.Definitions, []error) {
+	d := decoder{
+		accounts:    make(map[string]definer.Account),
+		keys:        make(map[string]definer.Key),
+		routes:      make(map[string]definer.Route),
+		rules:       make(map[string]definer.Rule),
+		deployments: make(map[string]definer.Deployment),
+		placements:  make(map[string]placement),
+		limits:      make(map[string]definer.Limits),
+	}
+	var faults []error
+	for _, s := range settings {
+		if err := d.take(s); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	return d.definitions(), faults
+}
+
+func (d decoder) take(s parser.Setting) error {
+	if (s.Section.Name == "") != (s.Section.Kind == "limits") {
+		return fault(coder.ConfigSyntax, s, "only the section [limits] has no name")
+	}
+	switch s.Section.Kind {
+	case "client-account":
+		return apply(d.accounts, accountFields, s, func(name string) definer.Account {
+			return definer.Account{Name: name, Share: 1}
+		})
+	case "key":
+		return apply(d.keys, keyFields, s, func(id string) definer.Key { return definer.Key{ID: id} })
+	case "route":
+		return apply(d.routes, routeFields, s, defaultRoute)
+	case "service-rule":
+		return apply(d.rules, ruleFields, s, func(name string) definer.Rule {
+			r := definer.DefaultRule("")
+			r.Name = name
+			return r
+		})
+	case "deployment":
+		return apply(d.deployments, deploymentFields, s, defaultDeployment)
+	case "placement":
+		return apply(d.placements, placementFields, s, func(string) placement {
+			return placement{Placement: definer.Placement{Tier: transactor.OnDemand}}
+		})
+	case "limits":
+		return apply(d.limits, limitsFields, s, func(string) definer.Limits { return definer.DefaultLimits() })
+	}
+	return fault(coder.ConfigUnknownKey, s, "there is no such kind of section")
+}
+
+func apply[T any](defs map[string]T, fs fields[T], s parser.Setting, initial func(string) T) error {
+	v, ok := defs[s.Section.Name]
+	if !ok {
+		v = initial(s.Section.Name)
+		defs[s.Section.Name] = v
+	}
+	if s.Key == "" {
+		return nil
+	}
+	set, ok := fs[s.Key]
+	if !ok {
+		return fault(coder.ConfigUnknownKey, s, "there is no such key")
+	}
+	v, err := set(v, s.Value)
+	if err != nil {
+		return fault(coder.ConfigBadValue, s, err.Error())
+	}
+	defs[s.Section.Name] = v
+	return nil
+}
+
+func defaultRoute(name string) definer.Route {
+	return definer.Route{
+		Name:       name,
+		Access:     definer.Keyed,
+		Idempotent: []string{http.MethodGet, http.MethodHead, http.MethodOptions},
+		Deadline:   time.Minute,
+		Priority:   5,
+	}
+}
+
+func defaultDeployment(name string) definer.Deployment {
+	return definer.Deployment{
+		Name:        name,
+		Slots:       16,
+		Pieces:      1000,
+		PrefillRate: 8000,
+		DecodeRate:  1500,
+		Fencing:     definer.FencingIgnored,
+		RoleChange:  10 * time.Second,
+		MaxAway:     1,
+	}
+}
+
+func (d decoder) definitions() definer.Definitions {
+	limits, ok := d.limits[""]
+	if !ok {
+		limits = definer.DefaultLimits()
+	}
+	for _, p := range sortedValues(d.placements) {
+		if dep, ok := d.deployments[p.deployment]; ok {
+			dep.Placements = append(dep.Placements, p.Placement)
+			d.deployments[p.deployment] = dep
+		}
+	}
+	return definer.Definitions{
+		Accounts:    sortedValues(d.accounts),
+		Keys:        sortedValues(d.keys),
+		Routes:      sortedValues(d.routes),
+		Rules:       sortedValues(d.rules),
+		Deployments: sortedValues(d.deployments),
+		Limits:      limits,
+	}
+}
