--- /dev/null
+++ b/internal/engine/speaker/client.go
@@ -0,0 +1,97 @@
+package speaker
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// Client reaches the control interface of the endpoints.
+type Client struct {
+	// Transport carries the messages; nil means http.DefaultTransport.
+	Transport http.RoundTripper
+	// Timeout bounds one message; 0 means 2 s.
+	Timeout time.Duration
+}
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxAnswer      = 1 << 20
+)
+
+// WithTransport returns a copy that sends through t.
+func (c Client) WithTransport(t http.RoundTripper) Client {
+	c.Transport = t
+	return c
+}
+
+// Load asks the endpoint at address for its load report.
+func (c Client) Load(ctx context.Context, address string) (Load, error) {
+	data, err := c.send(ctx, http.MethodGet, address, "/engine/load", nil)
+	if err != nil {
+		return Load{}, err
+	}
+	return DecodeLoad(data)
+}
+
+// State asks an engine for its state.
+func (c Client) State(ctx context.Context, address string) (State, error) {
+	data, err := c.send(ctx, http.MethodGet, address, "/engine/state", nil)
+	if err != nil {
+		return State{}, err
+	}
+	return DecodeState(data)
+}
+
+// Order sends an order to an engine, once.
+//
+// StaleFencing: the engine has seen a newer token. Other errors leave open
+// whether the order took effect; State tells.
+func (c Client) Order(ctx context.Context, address string, o Order) error {
+	_, err := c.send(ctx, http.MethodPost, address, "/engine/orders", EncodeOrder(o))
+	return err
+}
+
+// Cancel tells an engine to stop working on a request.
+func (c Client) Cancel(ctx context.Context, address, requestID string) error {
+	_, err := c.send(ctx, http.MethodPost, address, "/engine/cancel/"+requestID, nil)
+	return err
+}
+
+func (c Client) send(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, coder.Wrap(coder.EndpointUnreachable, err, "malformed endpoint address %q", address)
+	}
+	req.GetBody = nil
+	transport := c.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, coder.Wrap(coder.EndpointUnreachable, err, "endpoint %s did not answer", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, coder.Wrap(coder.EndpointFailed, err, "the answer of endpoint %s was cut", address)
+	}
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return nil, coder.Refuse(coder.StaleFencing, "endpoint %s refused an old fencing token", address)
+	case resp.StatusCode >= http.StatusBadRequest:
+		return nil, coder.New(coder.EndpointFailed, "endpoint %s answered %d", address, resp.StatusCode)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/engine/speaker/control.go
@@ -0,0 +1,208 @@
+// Package speaker speaks the engines' control protocol.
+//
+// Engines serve the OpenAI paths for requests; beside them they offer their
+// state and load, take orders, and cancel or resume streams under /engine.
+// This package has the messages, their codec, and a client that sends each
+// message once.
+package speaker
+
+import (
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// The headers between a node and an engine.
+const (
+	HeaderRequestID  = "Engine-Request-Id"
+	HeaderPriority   = "Engine-Priority"
+	HeaderDeadline   = "Engine-Deadline-Ms"
+	HeaderResumeFrom = "Engine-Resume-From"
+)
+
+// Action is what an order asks of an engine.
+type Action string
+
+// The actions of an order.
+const (
+	SetRole     Action = "set-role"
+	LoadModel   Action = "load-model"
+	LoadAdapter Action = "load-adapter"
+	SetVersion  Action = "set-version"
+)
+
+// Order is an order to an engine.
+type Order struct {
+	ID           string
+	FencingToken uint64
+	Action       Action
+	Value        string
+}
+
+// State is what an engine says of itself.
+type State struct {
+	Role     string
+	Models   []string
+	Adapters []string
+	Version  string
+	// LastOrder is the order that took effect last.
+	LastOrder    string
+	FencingToken uint64
+	// Phase is "serving", "draining" or "changing".
+	Phase    string
+	InFlight int
+}
+
+// Load is an engine's or service's load report.
+type Load struct {
+	InFlight   int
+	Queued     int
+	Backlog    int
+	FreePieces int
+	Role       string
+	Leaving    bool
+	Changing   bool
+}
+
+// EncodeLoad encodes a load report.
+func EncodeLoad(l Load) []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("in-flight", func(e *jx.Encoder) { e.Int(l.InFlight) })
+		e.Field("queued", func(e *jx.Encoder) { e.Int(l.Queued) })
+		e.Field("backlog", func(e *jx.Encoder) { e.Int(l.Backlog) })
+		e.Field("free-pieces", func(e *jx.Encoder) { e.Int(l.FreePieces) })
+		e.Field("role", func(e *jx.Encoder) { e.Str(l.Role) })
+		e.Field("leaving", func(e *jx.Encoder) { e.Bool(l.Leaving) })
+		e.Field("changing", func(e *jx.Encoder) { e.Bool(l.Changing) })
+	})
+	return e.Bytes()
+}
+
+// DecodeLoad decodes a load report.
+func DecodeLoad(data []byte) (l Load, err error) {
+	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		switch name {
+		case "in-flight":
+			l.InFlight, err = d.Int()
+		case "queued":
+			l.Queued, err = d.Int()
+		case "backlog":
+			l.Backlog, err = d.Int()
+		case "free-pieces":
+			l.FreePieces, err = d.Int()
+		case "role":
+			l.Role, err = d.Str()
+		case "leaving":
+			l.Leaving, err = d.Bool()
+		case "changing":
+			l.Changing, err = d.Bool()
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	return l, malformed(err)
+}
+
+// EncodeOrder encodes an order.
+func EncodeOrder(o Order) []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("order-id", func(e *jx.Encoder) { e.Str(o.ID) })
+		e.Field("fencing-token", func(e *jx.Encoder) { e.UInt64(o.FencingToken) })
+		e.Field("action", func(e *jx.Encoder) { e.Str(string(o.Action)) })
+		e.Field("value", func(e *jx.Encoder) { e.Str(o.Value) })
+	})
+	return e.Bytes()
+}
+
+// DecodeOrder decodes an order.
+func DecodeOrder(data []byte) (o Order, err error) {
+	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		switch name {
+		case "order-id":
+			o.ID, err = d.Str()
+		case "fencing-token":
+			o.FencingToken, err = d.UInt64()
+		case "action":
+			var s string
+			s, err = d.Str()
+			o.Action = Action(s)
+		case "value":
+			o.Value, err = d.Str()
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	return o, malformed(err)
+}
+
+// EncodeState encodes an engine's state.
+func EncodeState(s State) []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("role", func(e *jx.Encoder) { e.Str(s.Role) })
+		e.Field("models", func(e *jx.Encoder) { encodeStrings(e, s.Models) })
+		e.Field("adapters", func(e *jx.Encoder) { encodeStrings(e, s.Adapters) })
+		e.Field("version", func(e *jx.Encoder) { e.Str(s.Version) })
+		e.Field("last-order-id", func(e *jx.Encoder) { e.Str(s.LastOrder) })
+		e.Field("fencing-token", func(e *jx.Encoder) { e.UInt64(s.FencingToken) })
+		e.Field("phase", func(e *jx.Encoder) { e.Str(s.Phase) })
+		e.Field("in-flight", func(e *jx.Encoder) { e.Int(s.InFlight) })
+	})
+	return e.Bytes()
+}
+
+// DecodeState decodes an engine's state.
+func DecodeState(data []byte) (s State, err error) {
+	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		switch name {
+		case "role":
+			s.Role, err = d.Str()
+		case "models":
+			s.Models, err = decodeStrings(d)
+		case "adapters":
+			s.Adapters, err = decodeStrings(d)
+		case "version":
+			s.Version, err = d.Str()
+		case "last-order-id":
+			s.LastOrder, err = d.Str()
+		case "fencing-token":
+			s.FencingToken, err = d.UInt64()
+		case "phase":
+			s.Phase, err = d.Str()
+		case "in-flight":
+			s.InFlight, err = d.Int()
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	return s, malformed(err)
+}
+
+func encodeStrings(e *jx.Encoder, items []string) {
+	e.Arr(func(e *jx.Encoder) {
+		for _, s := range items {
+			e.Str(s)
+		}
+	})
+}
+
+func decodeStrings(d *jx.Decoder) (items []string, err error) {
+	err = d.Arr(func(d *jx.Decoder) error {
+		s, err := d.Str()
+		items = append(items, s)
+		return err
+	})
+	return items, err
+}
+
+func malformed(err error) error {
+	if err == nil {
+		return nil
+	}
+	return coder.Wrap(coder.EndpointFailed, err, "malformed message of an endpoint")
+}
--- /dev/null
+++ b/internal/front/decoder/chat.go
@@ -0,0 +1,169 @@
+// Package decoder reads callers' messages in the OpenAI format.
+//
+// It takes from a body only what the system needs to route, limit and bill the
+// request, and keeps the rest as it came: the engine decides what it supports.
+package decoder
+
+import (
+	"errors"
+
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// Prompt is what is read of a completion request.
+type Prompt struct {
+	Model  string
+	Stream bool
+	// IncludeUsage says that the caller wants the usage event of a stream.
+	IncludeUsage bool
+	// MaxTokens is the bound on the output, 0 if none is given.
+	MaxTokens int
+	// Text is the raw JSON of the messages or the prompt.
+	Text []byte
+	// options is the raw stream_options, nil if there are none.
+	options []byte
+	fields  []field
+}
+
+type field struct {
+	name string
+	raw  jx.Raw
+}
+
+// maxOutputTokens is beyond what any model generates; larger bounds are
+// malformed rather than a licence to overflow sums.
+const maxOutputTokens = 1 << 30
+
+// bytesPerToken is the usual mean for text; the engine's count is what is billed.
+const bytesPerToken = 4
+
+// DecodeChat reads a chat completion request.
+func DecodeChat(body []byte) (Prompt, error) {
+	return decode(body, "messages", jx.Array)
+}
+
+// DecodeCompletion reads a completion request.
+func DecodeCompletion(body []byte) (Prompt, error) {
+	return decode(body, "prompt", jx.String, jx.Array)
+}
+
+func decode(body []byte, textField string, textTypes ...jx.Type) (Prompt, error) {
+	var p Prompt
+	d := jx.DecodeBytes(body)
+	err := d.Obj(func(d *jx.Decoder, name string) error {
+		raw, err := d.Raw()
+		if err != nil {
+			return err
+		}
+		p.fields = append(p.fields, field{name: name, raw: raw})
+		return p.take(name, raw, textField, textTypes)
+	})
+	if err == nil {
+		// Only white space may follow the object.
+		if d.Next() != jx.Invalid {
+			return Prompt{}, malformed(nil, "text follows the JSON object")
+		}
+	}
+	if err != nil {
+		var known coder.Error
+		if errors.As(err, &known) {
+			return Prompt{}, known
+		}
+		return Prompt{}, malformed(err, "the body is not a JSON object of the expected form")
+	}
+	switch {
+	case p.Model == "":
+		return Prompt{}, malformed(nil, "the field model is missing or empty")
+	case p.Text == nil:
+		return Prompt{}, malformed(nil, "the field "+textField+" is missing")
+	}
+	return p, nil
+}
+
+func (p *Prompt) take(name string, raw jx.Raw, textField string, textTypes []jx.Type) (err error) {
+	d := jx.DecodeBytes(raw)
+	switch name {
+	case textField:
+		for _, t := range textTypes {
+			if raw.Type() == t {
+				p.Text = raw
+				return nil
+			}
+		}
+		return malformed(nil, "the field "+name+" has the wrong type")
+	case "model":
+		p.Model, err = d.Str()
+	case "stream":
+		if raw.Type() != jx.Null {
+			p.Stream, err = d.Bool()
+		}
+	case "stream_options":
+		if raw.Type() != jx.Null {
+			p.options = raw
+			err = p.takeOptions(d)
+		}
+	case "max_tokens", "max_completion_tokens":
+		if raw.Type() != jx.Null {
+			p.MaxTokens, err = d.Int()
+		}
+		if err == nil && (p.MaxTokens < 0 || p.MaxTokens > maxOutputTokens) {
+			return malformed(nil, "the field "+name+" is out of range")
+		}
+	}
+	if err != nil {
+		return malformed(err, "the field "+name+" has the wrong type")
+	}
+	return nil
+}
+
+func (p *Prompt) takeOptions(d *jx.Decoder) error {
+	return d.Obj(func(d *jx.Decoder, name string) (err error) {
+		if name != "include_usage" {
+			return d.Skip()
+		}
+		p.IncludeUsage, err = d.Bool()
+		return err
+	})
+}
+
+// Tokens estimates the number of prompt tokens from the length of the text.
+func (p Prompt) Tokens() int {
+	return max(len(p.Text)/bytesPerToken, 1)
+}
+
+// BodyWithUsage returns the body with the usage event asked for, as billing
+// needs it whether the caller wants it or not.
+func (p Prompt) BodyWithUsage() []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		for _, f := range p.fields {
+			if f.name == "stream_options" {
+				continue
+			}
+			e.Field(f.name, func(e *jx.Encoder) { e.Raw(f.raw) })
+		}
+		e.Field("stream_options", p.encodeOptions)
+	})
+	return e.Bytes()
+}
+
+func (p Prompt) encodeOptions(e *jx.Encoder) {
+	e.Obj(func(e *jx.Encoder) {
+		if p.options != nil {
+			_ = jx.DecodeBytes(p.options).Obj(func(d *jx.Decoder, name string) error {
+				raw, err := d.Raw()
+				if err == nil && name != "include_usage" {
+					e.Field(name, func(e *jx.Encoder) { e.Raw(raw) })
+				}
+				return err
+			})
+		}
+		e.Field("include_usage", func(e *jx.Encoder) { e.Bool(true) })
+	})
+}
+
+func malformed(err error, text string) error {
+	return coder.Refuse(coder.MalformedBody, "%s", text).WithCause(err)
+}
--- /dev/null
+++ b/internal/front/receiver/model.go
@@ -0,0 +1,200 @@
+package receiver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/identifier"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/front/decoder"
+	"foxtailflow.example/foxtailflow/internal/front/encoder"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+)
+
+func (rc Receiver) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	rc.serve(w, r, func(id string) (carrier.Request, error) {
+		return rc.modelRequest(w, r, id, decoder.DecodeChat)
+	})
+}
+
+func (rc Receiver) completion(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	rc.serve(w, r, func(id string) (carrier.Request, error) {
+		return rc.modelRequest(w, r, id, decoder.DecodeCompletion)
+	})
+}
+
+func (rc Receiver) plain(w http.ResponseWriter, r *http.Request) {
+	rc.serve(w, r, func(id string) (carrier.Request, error) {
+		return rc.plainRequest(w, r, id)
+	})
+}
+
+// serve builds the request, has it answered, and ends the answer.
+func (rc Receiver) serve(w http.ResponseWriter, r *http.Request, build func(id string) (carrier.Request, error)) {
+	id := identifier.Request()
+	w.Header().Set(encoder.HeaderRequestID, id)
+	req, err := build(id)
+	if err != nil {
+		f := coder.Of(err)
+		rc.Log.Info().Str("request", id).Int("code", int(f.Code())).Str("outcome", f.Outcome().String()).
+			Str("path", r.URL.Path).Msg("request refused")
+		encoder.WriteRefusal(w, f)
+		return
+	}
+	reply := newReply(rc.Clock, w, req)
+	result := rc.Handler.Do(r.Context(), req, reply)
+	reply.end(result)
+}
+
+func (rc Receiver) modelRequest(w http.ResponseWriter, r *http.Request, id string, decode func([]byte) (decoder.Prompt, error)) (carrier.Request, error) {
+	now := rc.Clock.Now()
+	cfg, err := rc.Views.Config()
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	// The key is checked before the body is read, so that a caller without one
+	// cannot make a node hold large bodies.
+	if _, err := authenticator.Identify(cfg, r.Header.Get("Authorization")); err != nil && !hasOpenModel(cfg) {
+		return carrier.Request{}, err
+	}
+	limits := cfg.Limits()
+	body, err := readBody(w, r, limits.MaxBody, limits.BodyWait, now)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	p, err := decode(body)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	route, ok := cfg.RouteByModel(p.Model)
+	if !ok {
+		return carrier.Request{}, coder.Refuse(coder.UnknownModel, "there is no model %q", p.Model)
+	}
+	req, err := rc.request(cfg, route, r, id, now)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	if p.Stream && !p.IncludeUsage {
+		body = p.BodyWithUsage()
+		req.HideUsage = true
+	}
+	req.Body = carrier.Whole(body)
+	req.Stream = p.Stream
+	req.Prompt = p.Text
+	req.PromptTokens = p.Tokens()
+	req.MaxTokens = p.MaxTokens
+	return req, nil
+}
+
+func hasOpenModel(cfg definer.Config) bool {
+	for _, r := range cfg.Routes() {
+		if r.Kind == definer.Model && r.Access == definer.Open {
+			return true
+		}
+	}
+	return false
+}
+
+// bufferedBody is the size in bytes up to which the body of a plain call that
+// may be repeated is kept for a second attempt.
+const bufferedBody = 64 << 10
+
+func (rc Receiver) plainRequest(w http.ResponseWriter, r *http.Request, id string) (carrier.Request, error) {
+	now := rc.Clock.Now()
+	cfg, err := rc.Views.Config()
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	route, ok := cfg.RouteByPath(r.URL.Path)
+	if !ok {
+		return carrier.Request{}, coder.Refuse(coder.UnknownPath, "there is no route for %s %s", r.Method, r.URL.Path)
+	}
+	req, err := rc.request(cfg, route, r, id, now)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	limits := cfg.Limits()
+	maxBody := limits.MaxBody
+	if route.MaxBody > 0 {
+		maxBody = route.MaxBody
+	}
+	if r.ContentLength > maxBody {
+		return carrier.Request{}, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", maxBody)
+	}
+	req.PromptTokens = 1
+	// A call with an idempotency key is compared with its repeats by its body.
+	small := r.ContentLength >= 0 && r.ContentLength <= bufferedBody
+	if small || req.IdempotencyKey != "" {
+		body, err := readBody(w, r, maxBody, limits.BodyWait, now)
+		if err != nil {
+			return carrier.Request{}, err
+		}
+		return req.WithBody(carrier.Whole(body)), nil
+	}
+	stream := http.MaxBytesReader(w, r.Body, maxBody)
+	return req.WithBody(carrier.Body{Stream: stream, Length: r.ContentLength}), nil
+}
+
+// request fills what model and plain requests have in common.
+func (rc Receiver) request(cfg definer.Config, route definer.Route, r *http.Request, id string, now time.Time) (carrier.Request, error) {
+	caller, err := rc.accept(cfg, route, r)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	until, err := deadline(now, route, r.Header)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	key, err := idempotencyKey(r.Header)
+	if err != nil {
+		return carrier.Request{}, err
+	}
+	return carrier.Request{
+		ID:             id,
+		Account:        caller.Account.Name,
+		KeyID:          caller.KeyID,
+		Route:          route,
+		ConfigVersion:  cfg.Version(),
+		Method:         r.Method,
+		Target:         r.URL.RequestURI(),
+		Header:         carrier.Header(r.Header),
+		Arrived:        now,
+		Deadline:       until,
+		IdempotencyKey: key,
+	}, nil
+}
+
+// maxIdempotencyKey bounds the length of an idempotency key in bytes.
+const maxIdempotencyKey = 255
+
+func idempotencyKey(h http.Header) (string, error) {
+	keys := h.Values(encoder.HeaderIdempotencyKey)
+	if len(keys) == 0 {
+		return "", nil
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxIdempotencyKey {
+		return "", coder.Refuse(coder.ClaimKeyMalformed, "%s must be one value of 1 to %d bytes", encoder.HeaderIdempotencyKey, maxIdempotencyKey)
+	}
+	return keys[0], nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, wait time.Duration, now time.Time) ([]byte, error) {
+	// A caller that sends its body slowly must not hold memory for ever.
+	_ = http.NewResponseController(w).SetReadDeadline(now.Add(wait))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return nil, coder.Refuse(coder.SlowCaller, "the body did not arrive whole within %v", wait).WithCause(err)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
--- /dev/null
+++ b/internal/front/receiver/receiver.go
@@ -0,0 +1,125 @@
+// Package receiver is the callers' HTTP interface.
+//
+// It turns an HTTP request into a carrier.Request, hands it to a Handler, and
+// sends the answer or a numbered refusal. Everything that refuses a request
+// before the Handler has it is truly not run.
+package receiver
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/identifier"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/front/encoder"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+)
+
+// Handler answers requests.
+type Handler interface {
+	// Do answers r through reply and returns once that is done.
+	Do(ctx context.Context, r carrier.Request, reply carrier.Reply) carrier.Result
+}
+
+// Views tells the configuration in force.
+type Views interface {
+	// Config returns the newest configuration; ConfigNotLoaded before the first.
+	Config() (definer.Config, error)
+	// Current fails with ViewNotCurrent if the configuration may be outdated.
+	Current() error
+}
+
+// Receiver serves callers.
+type Receiver struct {
+	Clock   timekeeper.Clock
+	Log     zerolog.Logger
+	Views   Views
+	Handler Handler
+	// Ready reports why the node takes no requests, or nil.
+	Ready func() error
+}
+
+// Routes returns the callers' HTTP interface.
+func (rc Receiver) Routes() http.Handler {
+	r := httprouter.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.HandleMethodNotAllowed = false
+	r.POST("/v1/chat/completions", rc.chat)
+	r.POST("/v1/completions", rc.completion)
+	r.GET("/v1/models", rc.models)
+	r.GET("/healthz", rc.health)
+	r.GET("/readyz", rc.ready)
+	r.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
+	r.NotFound = http.HandlerFunc(rc.plain)
+	return r
+}
+
+func (rc Receiver) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (rc Receiver) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if err := rc.Ready(); err != nil {
+		encoder.WriteRefusal(w, coder.Of(err))
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (rc Receiver) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	w.Header().Set(encoder.HeaderRequestID, identifier.Request())
+	cfg, err := rc.Views.Config()
+	if err != nil {
+		encoder.WriteRefusal(w, coder.Of(err))
+		return
+	}
+	caller, err := authenticator.Identify(cfg, r.Header.Get("Authorization"))
+	var served []definer.Route
+	for _, route := range cfg.Routes() {
+		open := route.Access == definer.Open
+		if route.Kind == definer.Model && (open || err == nil && route.Allows(caller.Account.Name)) {
+			served = append(served, route)
+		}
+	}
+	if err != nil && len(served) == 0 {
+		encoder.WriteRefusal(w, coder.Of(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoder.EncodeModels(served))
+}
+
+// accept checks that the node may serve the route to the caller.
+func (rc Receiver) accept(cfg definer.Config, route definer.Route, r *http.Request) (authenticator.Caller, error) {
+	caller, err := authenticator.Authenticate(cfg, route, r.Header.Get("Authorization"))
+	if err != nil {
+		return authenticator.Caller{}, err
+	}
+	if route.Access == definer.Keyed {
+		err = rc.Views.Current()
+	}
+	return caller, err
+}
+
+// deadline returns when the answer must be done: the route's bound, which the
+// caller may shorten.
+func deadline(now time.Time, route definer.Route, h http.Header) (time.Time, error) {
+	d := route.Deadline
+	if text := h.Get(encoder.HeaderTimeout); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			return time.Time{}, coder.Refuse(coder.MalformedHeader, "%s is not a duration such as 2s", encoder.HeaderTimeout)
+		}
+		d = min(d, asked)
+	}
+	return now.Add(d), nil
+}
