--- /dev/null
+++ b/cmd/foxtailflow/main.go
@@ -0,0 +1,13 @@
+// Command foxtailflow is the serving system: the node that runs on every VM,
+// and the commands by which operators drive it.
+package main
+
+import (
+	"os"
+
+	"foxtailflow.example/foxtailflow/internal/command/starter"
+)
+
+func main() {
+	os.Exit(starter.Main())
+}
--- /dev/null
+++ b/internal/node/assembler/assembler.go
@@ -0,0 +1,185 @@
+// Package assembler builds a node of its parts, runs it and stops it.
+//
+// A node stops gracefully: it first reports that it is not ready, so that the
+// platform's balancer sends it nothing more, then finishes what runs, and only
+// then ends its tasks.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/applier"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/front/receiver"
+	"foxtailflow.example/foxtailflow/internal/node/configurer"
+	"foxtailflow.example/foxtailflow/internal/operator/commander"
+	"foxtailflow.example/foxtailflow/internal/platform/connector"
+	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
+	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings configurer.Settings
+	clock    timekeeper.Clock
+	log      zerolog.Logger
+
+	applier    *applier.Applier
+	observer   *observer.Observer
+	dispatcher *dispatcher.Dispatcher
+	stopping   atomic.Bool
+
+	callers   net.Listener
+	operators net.Listener
+}
+
+// The delays of the periodic tasks.
+const (
+	headEvery = time.Second
+	listEvery = time.Second
+	jitter    = 0.2
+)
+
+// New builds a node and opens its listeners.
+func New(s configurer.Settings, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
+	n := &Node{settings: s, clock: clock, log: log.With().Str("node", s.ID).Logger()}
+	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: &http.Transport{}}
+	n.applier = &applier.Applier{Clock: clock, Table: platform}
+	n.observer = &observer.Observer{
+		Clock:   clock,
+		Log:     n.log,
+		VMs:     platform,
+		Engines: speaker.Client{Transport: &http.Transport{}},
+		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
+	}
+	n.dispatcher = &dispatcher.Dispatcher{
+		Clock:      clock,
+		Log:        n.log,
+		DataCentre: s.DataCentre,
+		Configs:    n.applier,
+		Endpoints:  n.observer,
+		Forwarder:  forwarder.New(clock, s.ConnectWait),
+		Queue:      &runner.Queue[*dispatcher.Job]{Limit: definer.DefaultLimits().MaxQueue},
+	}
+	var err error
+	if n.callers, err = listen(s.CallersListen); err != nil {
+		return nil, err
+	}
+	if n.operators, err = listen(s.OperatorsListen); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, coder.Refuse(coder.SettingsBad, "cannot listen at %s", address).WithCause(err)
+	}
+	return l, nil
+}
+
+// OperatorsAddress returns the address at which operators are served.
+func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
+
+// CallersAddress returns the address at which callers are served.
+func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
+
+// Ready reports why the node takes no requests, or nil.
+func (n *Node) Ready() error {
+	if n.stopping.Load() {
+		return coder.Refuse(coder.ShuttingDown, "the node is shutting down").WithRetryAfter(time.Second)
+	}
+	_, err := n.applier.Config()
+	return err
+}
+
+// Run serves until ctx is done, then finishes what runs and returns.
+func (n *Node) Run(ctx context.Context) error {
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var wg conc.WaitGroup
+	for _, p := range n.periodic() {
+		wg.Go(func() { p.Run(tasks, n.clock, n.log) })
+	}
+	wg.Go(func() {
+		runner.Pool[*dispatcher.Job]{
+			Workers: n.settings.Workers,
+			Source:  n.dispatcher.Queue,
+			Handle:  n.dispatcher.Handle,
+		}.Run(tasks)
+	})
+	callers, operators := n.callersServer(), n.operatorsServer()
+	wg.Go(func() { n.serve(callers, n.callers) })
+	wg.Go(func() { n.serve(operators, n.operators) })
+	n.log.Info().Str("callers", n.CallersAddress()).Str("data-centre", n.settings.DataCentre).Msg("node started")
+	<-ctx.Done()
+	n.stop(callers)
+	_ = operators.Close()
+	stopTasks()
+	wg.Wait()
+	n.log.Info().Msg("node stopped")
+	return nil
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
+	}
+}
+
+func (n *Node) operatorsServer() *http.Server {
+	c := commander.Commander{Log: n.log, Applier: n.applier, CredentialHash: n.settings.OperatorHash}
+	return &http.Server{Handler: c.Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
+}
+
+func (n *Node) callersServer() *http.Server {
+	limits := definer.DefaultLimits()
+	rc := receiver.Receiver{Clock: n.clock, Log: n.log, Views: n.applier, Handler: n.dispatcher, Ready: n.Ready}
+	return &http.Server{
+		Handler:           rc.Routes(),
+		ReadHeaderTimeout: limits.HeaderWait,
+		MaxHeaderBytes:    limits.MaxHeader,
+	}
+}
+
+func (n *Node) periodic() []runner.Periodic {
+	return []runner.Periodic{
+		{Name: "configuration", Every: headEvery, Jitter: jitter, Task: n.applier.Refresh},
+		{Name: "vm-list", Every: listEvery, Jitter: jitter, Task: n.observer.RefreshList},
+		{Name: "load-reports", Every: n.settings.LoadEvery, Jitter: jitter, Task: n.observer.RefreshLoad},
+	}
+}
+
+// stop ends the callers' interface once what runs is finished.
+func (n *Node) stop(server *http.Server) {
+	n.stopping.Store(true)
+	n.log.Info().Msg("node drains")
+	// Until the balancer has seen that the node is not ready, it still sends
+	// requests here, and they are served.
+	_ = n.clock.Sleep(context.Background(), n.settings.LeaveWait)
+	wait := definer.DefaultLimits().DrainWait
+	if cfg, err := n.applier.Config(); err == nil {
+		wait = cfg.Limits().DrainWait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("requests were still running when the drain time ended")
+	}
+}
--- /dev/null
+++ b/internal/node/configurer/settings.go
@@ -0,0 +1,195 @@
+// Package configurer reads the settings of one node.
+//
+// Settings are what a process must know before it can reach anything: its
+// addresses, its data centre, the platform's address and its own limits. They
+// are an INI file with keys in kebab case. What operators decide for the whole
+// fleet is configuration and not here.
+package configurer
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/identifier"
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	// ID names the node; a new one is made at each start if it is not set.
+	ID         string
+	DataCentre string
+	// CallersListen, OperatorsListen and PeersListen are IP:port.
+	CallersListen   string
+	OperatorsListen string
+	PeersListen     string
+	// PeersAdvertise is the address at which peers reach the node.
+	PeersAdvertise string
+	// SourceAddress is the local IP of outgoing connections; empty means any.
+	SourceAddress string
+	// Peers are addresses to ask when the platform cannot be reached at start.
+	Peers []string
+	// Platform is the base address of the platform, http://IP:port.
+	Platform        string
+	PlatformTimeout time.Duration
+	// OperatorHash is the SHA-256 of the operators' credential.
+	OperatorHash [32]byte
+	// Workers is the number of requests in work at once.
+	Workers     int
+	ConnectWait time.Duration
+	LoadEvery   time.Duration
+	// LeaveWait is how long the balancer takes to see that a node leaves.
+	LeaveWait time.Duration
+	LogLevel  string
+}
+
+// maxWorkers keeps a mistyped number from exhausting memory.
+const maxWorkers = 100_000
+
+// known lists the keys of each section.
+var known = map[string][]string{
+	"node":      {"id", "data-centre", "workers", "connect-wait", "load-every", "leave-wait", "log-level"},
+	"callers":   {"listen"},
+	"operators": {"listen", "credential-hash"},
+	"peers":     {"listen", "advertise", "source-address", "addresses"},
+	"platform":  {"address", "timeout"},
+}
+
+// Load reads settings from a file's content; name stands in errors.
+//
+// It fails with SettingsBad and names section and key.
+func Load(name string, data []byte) (Settings, error) {
+	doc, err := ini.Load(data)
+	if err != nil {
+		return Settings{}, coder.Refuse(coder.SettingsBad, "settings %s: %v", name, err)
+	}
+	r := reader{file: name, doc: doc}
+	r.checkKnown()
+	s := Settings{
+		ID:              r.text("node", "id", identifier.Node()),
+		DataCentre:      r.required("node", "data-centre"),
+		Workers:         r.number("node", "workers", 128*runtime.GOMAXPROCS(0), 1, maxWorkers),
+		ConnectWait:     r.duration("node", "connect-wait", 500*time.Millisecond),
+		LoadEvery:       r.duration("node", "load-every", 250*time.Millisecond),
+		LeaveWait:       r.duration("node", "leave-wait", 2*time.Second),
+		LogLevel:        r.text("node", "log-level", "info"),
+		CallersListen:   r.address("callers", "listen"),
+		OperatorsListen: r.address("operators", "listen"),
+		PeersListen:     r.address("peers", "listen"),
+		SourceAddress:   r.text("peers", "source-address", ""),
+		Platform:        strings.TrimSuffix(r.required("platform", "address"), "/"),
+		PlatformTimeout: r.duration("platform", "timeout", 2*time.Second),
+		OperatorHash:    r.hash("operators", "credential-hash"),
+	}
+	s.PeersAdvertise = r.text("peers", "advertise", s.PeersListen)
+	s.Peers = r.list("peers", "addresses")
+	return s, r.err
+}
+
+type reader struct {
+	file string
+	doc  *ini.File
+	err  error
+}
+
+func (r *reader) fail(section, key, format string, args ...any) {
+	if r.err == nil {
+		r.err = coder.Refuse(coder.SettingsBad, "settings %s, section [%s], key %s: %s", r.file, section, key, fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *reader) checkKnown() {
+	for _, sec := range r.doc.Sections() {
+		keys, ok := known[sec.Name()]
+		if !ok && (sec.Name() != ini.DefaultSection || len(sec.Keys()) > 0) {
+			r.fail(sec.Name(), "", "there is no such section")
+		}
+		for _, k := range sec.KeyStrings() {
+			if !contains(keys, k) {
+				r.fail(sec.Name(), k, "there is no such key")
+			}
+		}
+	}
+}
+
+func contains(items []string, s string) bool {
+	for _, item := range items {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *reader) text(section, key, otherwise string) string {
+	if s := r.doc.Section(section).Key(key).String(); s != "" {
+		return s
+	}
+	return otherwise
+}
+
+func (r *reader) required(section, key string) string {
+	s := r.text(section, key, "")
+	if s == "" {
+		r.fail(section, key, "the key is required")
+	}
+	return s
+}
+
+func (r *reader) address(section, key string) string {
+	s := r.required(section, key)
+	host, _, err := net.SplitHostPort(s)
+	if s != "" && (err != nil || net.ParseIP(host) == nil) {
+		r.fail(section, key, "%q is not IP:port", s)
+	}
+	return s
+}
+
+func (r *reader) number(section, key string, otherwise, low, high int) int {
+	if !r.doc.Section(section).HasKey(key) {
+		return otherwise
+	}
+	n, err := r.doc.Section(section).Key(key).Int()
+	if err != nil || n < low || n > high {
+		r.fail(section, key, "not a whole number from %d to %d", low, high)
+	}
+	return n
+}
+
+func (r *reader) duration(section, key string, otherwise time.Duration) time.Duration {
+	if !r.doc.Section(section).HasKey(key) {
+		return otherwise
+	}
+	d, err := time.ParseDuration(r.doc.Section(section).Key(key).String())
+	if err != nil || d <= 0 {
+		r.fail(section, key, "not a duration with a unit, such as 250ms")
+	}
+	return d
+}
+
+func (r *reader) hash(section, key string) (h [32]byte) {
+	digits, ok := strings.CutPrefix(r.required(section, key), "sha256:")
+	b, err := hex.DecodeString(digits)
+	if !ok || err != nil || len(b) != len(h) {
+		r.fail(section, key, "not sha256: and 64 hexadecimal digits")
+		return h
+	}
+	copy(h[:], b)
+	return h
+}
+
+func (r *reader) list(section, key string) []string {
+	var items []string
+	for item := range strings.SplitSeq(r.text(section, key, ""), ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
