--- /dev/null
+++ b/cmd/foxtailflow-lab/main.go
@@ -0,0 +1,13 @@
+// Command foxtailflow-lab runs the stand-ins of the platform, engines and
+// services, the experiments, and the demonstration.
+package main
+
+import (
+	"os"
+
+	"foxtailflow.example/foxtailflow/internal/lab/starter"
+)
+
+func main() {
+	os.Exit(starter.Main())
+}
--- /dev/null
+++ b/internal/lab/assembler/world.go
@@ -0,0 +1,212 @@
+// Package assembler runs stand-ins and nodes together in one process.
+//
+// The demonstration and the tests of whole sessions use it. Everything listens
+// on free loopback ports and speaks the real protocols; only the processes are
+// merged into one.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/applier"
+	"foxtailflow.example/foxtailflow/internal/lab/generator"
+	"foxtailflow.example/foxtailflow/internal/lab/provider"
+	"foxtailflow.example/foxtailflow/internal/lab/servicer"
+	"foxtailflow.example/foxtailflow/internal/node/assembler"
+	"foxtailflow.example/foxtailflow/internal/node/configurer"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// Plan says what a world consists of.
+type Plan struct {
+	Nodes    int
+	Engines  int
+	Services int
+	Engine   generator.Settings
+	// Files are the configuration files by name.
+	Files map[string]string
+	// DataCentres are used in turn; none means "dc-1".
+	DataCentres []string
+	// ModelDeployment and PlainDeployment name what the endpoints belong to.
+	ModelDeployment string
+	PlainDeployment string
+	// OperatorSecret is the credential of operators.
+	OperatorSecret string
+	Log            zerolog.Logger
+}
+
+// World is a running system with its stand-ins.
+type World struct {
+	Platform *provider.Memory
+	Engines  []*generator.Engine
+	Services []*servicer.Service
+	Nodes    []*assembler.Node
+
+	plan    Plan
+	clock   timekeeper.Clock
+	base    string
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      conc.WaitGroup
+	servers []*http.Server
+	// serving waits for the stand-ins' servers.
+	serving conc.WaitGroup
+}
+
+// New starts a world and returns once every node is ready.
+func New(ctx context.Context, p Plan) (*World, error) {
+	if len(p.DataCentres) == 0 {
+		p.DataCentres = []string{"dc-1"}
+	}
+	w := &World{plan: p, clock: timekeeper.System{}}
+	w.ctx, w.stop = context.WithCancel(ctx)
+	w.Platform = &provider.Memory{Clock: w.clock}
+	base, err := w.serve(&http.Server{Handler: provider.Server{Memory: w.Platform}.Handler(), ReadHeaderTimeout: connectionLimit})
+	if err != nil {
+		return nil, err
+	}
+	w.base = "http://" + base
+	steps := []func() error{w.startEndpoints, w.configure, w.startNodes, w.awaitReady}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			w.Stop()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// connectionLimit closes a connection to the platform without a whole request.
+const connectionLimit = 5 * time.Second
+
+// Stop ends the nodes gracefully and then the stand-ins.
+func (w *World) Stop() {
+	w.stop()
+	w.wg.Wait()
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	w.serving.Wait()
+}
+
+// Address returns the base address of a node for callers.
+func (w *World) Address(node int) string {
+	return "http://" + w.Nodes[node].CallersAddress()
+}
+
+func (w *World) serve(s *http.Server) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	w.servers = append(w.servers, s)
+	w.plan.Log.Debug().Str("address", l.Addr().String()).Msg("stand-in started")
+	w.serving.Go(func() { _ = s.Serve(l) })
+	return l.Addr().String(), nil
+}
+
+func (w *World) startEndpoints() error {
+	var vms []transactor.VM
+	for i := range w.plan.Engines {
+		e := generator.New(w.clock, w.plan.Engine)
+		address, err := w.serve(e.Server())
+		if err != nil {
+			return err
+		}
+		w.Engines = append(w.Engines, e)
+		vms = append(vms, w.vm(fmt.Sprintf("engine-%d", i+1), address, i, w.plan.ModelDeployment))
+	}
+	for i := range w.plan.Services {
+		s := &servicer.Service{Clock: w.clock}
+		address, err := w.serve(&http.Server{Handler: s.Handler(), ReadHeaderTimeout: connectionLimit})
+		if err != nil {
+			return err
+		}
+		w.Services = append(w.Services, s)
+		vms = append(vms, w.vm(fmt.Sprintf("service-%d", i+1), address, i, w.plan.PlainDeployment))
+	}
+	w.Platform.SetVMs(vms)
+	return nil
+}
+
+func (w *World) vm(id, address string, i int, deployment string) transactor.VM {
+	return transactor.VM{
+		ID:         id,
+		Address:    address,
+		DataCentre: w.plan.DataCentres[i%len(w.plan.DataCentres)],
+		Deployment: deployment,
+		Tier:       transactor.OnDemand,
+		State:      transactor.Live,
+	}
+}
+
+// configure puts the files into the table before the first node starts.
+func (w *World) configure() error {
+	a := &applier.Applier{Clock: w.clock, Table: w.Platform}
+	changes := make([]applier.Change, 0, len(w.plan.Files))
+	for name, text := range w.plan.Files {
+		changes = append(changes, applier.Change{File: name, Data: []byte(text)})
+	}
+	return a.Seed(w.ctx, changes)
+}
+
+func (w *World) startNodes() error {
+	for i := range w.plan.Nodes {
+		s := configurer.Settings{
+			ID:              fmt.Sprintf("node-%d", i+1),
+			DataCentre:      w.plan.DataCentres[i%len(w.plan.DataCentres)],
+			CallersListen:   "127.0.0.1:0",
+			OperatorsListen: "127.0.0.1:0",
+			PeersListen:     "127.0.0.1:0",
+			Platform:        w.base,
+			PlatformTimeout: 2 * time.Second,
+			OperatorHash:    authenticator.Hash(w.plan.OperatorSecret),
+			Workers:         256,
+			ConnectWait:     500 * time.Millisecond,
+			LoadEvery:       100 * time.Millisecond,
+			LeaveWait:       10 * time.Millisecond,
+		}
+		n, err := assembler.New(s, w.clock, w.plan.Log)
+		if err != nil {
+			return err
+		}
+		w.Nodes = append(w.Nodes, n)
+		w.wg.Go(func() { _ = n.Run(w.ctx) })
+	}
+	return nil
+}
+
+func (w *World) awaitReady() error {
+	const (
+		tries = 200
+		pause = 20 * time.Millisecond
+	)
+	for range tries {
+		if w.ready() {
+			return nil
+		}
+		if err := w.clock.Sleep(w.ctx, pause); err != nil {
+			return err
+		}
+	}
+	return errors.New("the nodes did not become ready")
+}
+
+func (w *World) ready() bool {
+	for _, n := range w.Nodes {
+		if n.Ready() != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lab/servicer/service.go
@@ -0,0 +1,149 @@
+// Package servicer is a stand-in for a plain service.
+//
+// POST /orders places an order and is not idempotent; GET /stock looks stock
+// up. The service counts each run by the identifier of the request and by the
+// reference in the order, so that a test can see what ran twice.
+package servicer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+)
+
+// Service is a stand-in for a plain service.
+type Service struct {
+	Clock timekeeper.Clock
+
+	mu      sync.Mutex
+	runs    map[string]int
+	record  []string
+	running int
+	faults  Faults
+}
+
+// Faults are the failures that the service shows at present.
+type Faults struct {
+	// Delay is added before each answer, after the run was counted.
+	Delay time.Duration
+	// LoseAnswers cuts the connection after the run was counted.
+	LoseAnswers bool
+	// Leaving is the service's own signal that it will stop.
+	Leaving bool
+}
+
+// maxRequest bounds the body of one request, in bytes.
+const maxRequest = 16 << 20
+
+// SetFaults replaces the failures.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often the order with this body ran.
+func (s *Service) Runs(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+// Handler returns the service's HTTP interface and the controls of the stand-in.
+func (s *Service) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/orders", s.placeOrder)
+	r.GET("/stock/:item", s.lookUp)
+	r.GET("/engine/load", s.load)
+	r.POST("/lab/faults", s.setFaults)
+	r.GET("/lab/record", s.showRecord)
+	r.GET("/lab/runs", s.showRuns)
+	return r
+}
+
+func (s *Service) placeOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequest))
+	if err != nil {
+		return
+	}
+	s.serve(w, r, func() string {
+		if s.runs == nil {
+			s.runs = make(map[string]int)
+		}
+		s.runs[string(body)]++
+		return fmt.Sprintf("placed %s\n", body)
+	})
+}
+
+func (s *Service) lookUp(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	s.serve(w, r, func() string { return fmt.Sprintf("%s: 7 crates\n", ps.ByName("item")) })
+}
+
+// serve counts the run, then answers as the faults allow.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request, effect func() string) {
+	id := r.Header.Get("Foxtailflow-Request-Id")
+	s.mu.Lock()
+	s.running++
+	s.record = append(s.record, fmt.Sprintf("run id=%s method=%s path=%s authorization=%t", id, r.Method, r.URL.Path, r.Header.Get("Authorization") != ""))
+	text := effect()
+	f := s.faults
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
+	if s.Clock.Sleep(r.Context(), f.Delay) != nil || f.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Foxtailflow-Request-Id", id)
+	_, _ = io.WriteString(w, text)
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s.mu.Lock()
+	l := speaker.Load{InFlight: s.running, Role: "both", Leaving: s.faults.Leaving}
+	s.mu.Unlock()
+	_, _ = w.Write(speaker.EncodeLoad(l))
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := r.URL.Query()
+	var f Faults
+	f.Delay, _ = time.ParseDuration(q.Get("delay"))
+	f.LoseAnswers, _ = strconv.ParseBool(q.Get("lose-answers"))
+	f.Leaving, _ = strconv.ParseBool(q.Get("leaving"))
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) showRecord(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, line := range s.record {
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
+
+// showRuns lists each order and how often it ran.
+func (s *Service) showRuns(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	orders := make([]string, 0, len(s.runs))
+	for body := range s.runs {
+		orders = append(orders, body)
+	}
+	sort.Strings(orders)
+	for _, body := range orders {
+		_, _ = fmt.Fprintf(w, "%d %s\n", s.runs[body], body)
+	}
+}
--- /dev/null
+++ b/internal/lab/starter/script_test.go
@@ -0,0 +1,213 @@
+package starter_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	command "foxtailflow.example/foxtailflow/internal/command/starter"
+	lab "foxtailflow.example/foxtailflow/internal/lab/starter"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"foxtailflow":     func() { os.Exit(command.Main()) },
+		"foxtailflow-lab": func() { os.Exit(lab.Main()) },
+	})
+}
+
+// TestScripts runs every part as a process of its own; each script says which
+// failure it guards against.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"await":   cmdAwait,
+			"expand":  cmdExpand,
+			"port":    cmdPort,
+			"request": cmdRequest,
+			"signal":  cmdSignal,
+			"start":   cmdStart,
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Values[processesKey{}] = &processes{byName: make(map[string]*process)}
+			return nil
+		},
+	})
+}
+
+type processesKey struct{}
+
+// processes are the programs that a script has started.
+type processes struct {
+	byName map[string]*process
+}
+
+type process struct {
+	cmd *exec.Cmd
+	out *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// cmdPort sets each named variable to a free loopback port.
+func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		ts.Check(err)
+		ts.Check(l.Close())
+		ts.Setenv(name, port)
+	}
+}
+
+// cmdExpand replaces $NAME by the script's variables in files.
+func cmdExpand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// cmdStart starts a program under a name: start NAME PROGRAM ARGS...
+//
+// Its output goes to the file NAME.log when the script ends.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
+	}
+	all := ts.Value(processesKey{}).(*processes)
+	path, err := lookPath(ts.Getenv("PATH"), args[1])
+	ts.Check(err)
+	p := &process{cmd: exec.Command(path, args[2:]...), out: &lockedBuffer{}}
+	p.cmd.Dir = ts.MkAbs(".")
+	p.cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"))
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	ts.Check(p.cmd.Start())
+	all.byName[args[0]] = p
+	ts.Defer(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		_ = os.WriteFile(filepath.Join(ts.MkAbs("."), args[0]+".log"), []byte(p.out.String()), 0o600)
+		if strings.Contains(p.out.String(), "DATA RACE") {
+			ts.Logf("%s: %s", args[0], p.out.String())
+			ts.Fatalf("%s has a data race", args[0])
+		}
+	})
+}
+
+func lookPath(path, program string) (string, error) {
+	for _, dir := range filepath.SplitList(path) {
+		full := filepath.Join(dir, program)
+		if _, err := os.Stat(full); err == nil {
+			return full, nil
+		}
+	}
+	return exec.LookPath(program)
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+	"TERM": syscall.SIGTERM,
+}
+
+// cmdSignal sends a signal to a started program: signal SIGNAL NAME [wait].
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	all := ts.Value(processesKey{}).(*processes)
+	p, ok := all.byName[args[1]]
+	if !ok {
+		ts.Fatalf("no program %s was started", args[1])
+	}
+	ts.Check(p.cmd.Process.Signal(signals[args[0]]))
+	if len(args) > 2 {
+		_ = p.cmd.Wait()
+		ts.Check(os.WriteFile(ts.MkAbs(args[1]+".log"), []byte(p.out.String()), 0o600))
+	}
+}
+
+// cmdRequest sends one request and writes status, header and body to a file:
+// request FILE METHOD URL [BODY [HEADER: VALUE]...]; a BODY of @NAME is read
+// from a file of the script.
+func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) > 3 {
+		if name, ok := strings.CutPrefix(args[3], "@"); ok {
+			args[3] = ts.ReadFile(name)
+		}
+	}
+	text, err := send(args[1:])
+	if err != nil && !neg {
+		ts.Fatalf("request: %v", err)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
+// cmdAwait repeats a request until the answer contains a text:
+// await DURATION TEXT METHOD URL [BODY [HEADER: VALUE]...].
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	text := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if text, err = send(args[2:]); err == nil && strings.Contains(text, args[1]) {
+			return
+		}
+	}
+	ts.Fatalf("no %q within %v; the last answer was %q, error %v", args[1], limit, text, err)
+}
+
+func send(args []string) (string, error) {
+	var body io.Reader
+	if len(args) > 2 {
+		body = strings.NewReader(args[2])
+	}
+	req, err := http.NewRequest(args[0], args[1], body)
+	if err != nil {
+		return "", err
+	}
+	for _, h := range args[min(len(args), 3):] {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b strings.Builder
+	b.WriteString(resp.Status + "\n")
+	_ = resp.Header.Write(&b)
+	b.WriteString("\n")
+	_, err = io.Copy(&b, resp.Body)
+	return b.String(), err
+}
