--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -29,8 +29,9 @@
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
 	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
+	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
-	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
 
 // Node is one process of the system.
@@ -39,8 +40,11 @@
 	clock    timekeeper.Clock
 	log      zerolog.Logger
 
+	platform   connector.Client
 	applier    *applier.Applier
 	observer   *observer.Observer
+	queue      *queuer.Queue[*dispatcher.Job]
+	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
 	stopping   atomic.Bool
 
@@ -48,12 +52,8 @@
 	operators net.Listener
 }
 
-// The delays of the periodic tasks.
-const (
-	headEvery = time.Second
-	listEvery = time.Second
-	jitter    = 0.2
-)
+// jitter is the share by which the delay of a periodic task varies.
+const jitter = 0.2
 
 // New builds a node and opens its listeners.
 func New(s configurer.Settings, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
@@ -67,14 +67,12 @@
 		Engines: speaker.Client{Transport: &http.Transport{}},
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
-	n.dispatcher = &dispatcher.Dispatcher{
-		Clock:      clock,
-		Log:        n.log,
-		DataCentre: s.DataCentre,
-		Configs:    n.applier,
-		Endpoints:  n.observer,
-		Forwarder:  forwarder.New(clock, s.ConnectWait),
-		Queue:      &runner.Queue[*dispatcher.Job]{Limit: definer.DefaultLimits().MaxQueue},
+	n.platform = platform
+	builds := []func() error{n.buildDecisions, n.buildRequests, n.buildMembership, n.buildAuthority}
+	for _, build := range builds {
+		if err := build(); err != nil {
+			return nil, err
+		}
 	}
 	var err error
 	if n.callers, err = listen(s.CallersListen); err != nil {
@@ -120,7 +118,7 @@
 	wg.Go(func() {
 		runner.Pool[*dispatcher.Job]{
 			Workers: n.settings.Workers,
-			Source:  n.dispatcher.Queue,
+			Source:  n.queue,
 			Handle:  n.dispatcher.Handle,
 		}.Run(tasks)
 	})
@@ -131,6 +129,7 @@
 	<-ctx.Done()
 	n.stop(callers)
 	_ = operators.Close()
+	n.leave()
 	stopTasks()
 	wg.Wait()
 	n.log.Info().Msg("node stopped")
@@ -158,12 +157,13 @@
 	}
 }
 
+// periodic lists the tasks that run until the node stops.
 func (n *Node) periodic() []runner.Periodic {
-	return []runner.Periodic{
-		{Name: "configuration", Every: headEvery, Jitter: jitter, Task: n.applier.Refresh},
-		{Name: "vm-list", Every: listEvery, Jitter: jitter, Task: n.observer.RefreshList},
-		{Name: "load-reports", Every: n.settings.LoadEvery, Jitter: jitter, Task: n.observer.RefreshLoad},
+	var tasks []runner.Periodic
+	for _, group := range [][]runner.Periodic{n.decisionTasks(), n.requestTasks(), n.membershipTasks(), n.authorityTasks()} {
+		tasks = append(tasks, group...)
 	}
+	return tasks
 }
 
 // stop ends the callers' interface once what runs is finished.
@@ -183,3 +183,16 @@
 		n.log.Warn().Err(err).Msg("requests were still running when the drain time ended")
 	}
 }
+
+// leave hands over what the node has, once it serves no more.
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
+	defer cancel()
+	n.stopRequests(ctx)
+	n.stopAuthority(ctx)
+	n.stopMembership(ctx)
+}
+
+// leaveLimit bounds the handing over; a successor needs nothing of it to be
+// correct, only to be quick.
+const leaveLimit = 5 * time.Second
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -86,6 +86,9 @@
 	return r
 }
 
+// Work estimates the tokens that the request costs an engine.
+func (r Request) Work() int { return r.PromptTokens + r.MaxTokens }
+
 // MayRepeat reports whether the request may be sent a second time.
 func (r Request) MayRepeat() bool {
 	return r.Route.MayRepeat(r.Method) && r.Body.Repeatable()
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -10,15 +10,10 @@
 import (
 	"context"
 	"expvar"
-	"math/rand/v2"
-
-	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
-	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
@@ -29,10 +24,25 @@
 	Config() (definer.Config, error)
 }
 
-// Endpoints is the table of endpoints.
+// Chooser chooses endpoints.
+type Chooser interface {
+	// Choose returns the endpoint for the next attempt; tried names those that
+	// have failed the request.
+	Choose(r carrier.Request, tried []string) picker.Choice
+}
+
+// Queue holds the jobs that wait for a worker.
+type Queue interface {
+	// Add puts a job into the queue, or refuses it; a refused job has not run.
+	Add(job *Job) error
+	// Next blocks until there is a job for a worker; false means there is no more.
+	Next(ctx context.Context) (*Job, bool)
+	// Done notes that a worker has finished a job.
+	Done(job *Job, result carrier.Result)
+}
+
+// Endpoints takes note of what happens at endpoints.
 type Endpoints interface {
-	// Of returns the endpoints of a deployment.
-	Of(deployment string) []picker.Endpoint
 	// Sent notes that a request of the given work goes to an endpoint.
 	Sent(id string, work int)
 	// Done notes its end; ok is false if the endpoint failed.
@@ -47,15 +57,17 @@
 	done    chan carrier.Result
 }
 
+// Request returns the request of the job.
+func (j *Job) Request() carrier.Request { return j.request }
+
 // Dispatcher answers requests.
 type Dispatcher struct {
-	Clock      timekeeper.Clock
-	Log        zerolog.Logger
-	DataCentre string
-	Configs    Configs
-	Endpoints  Endpoints
-	Forwarder  forwarder.Forwarder
-	Queue      *runner.Queue[*Job]
+	Clock     timekeeper.Clock
+	Configs   Configs
+	Chooser   Chooser
+	Endpoints Endpoints
+	Forwarder forwarder.Forwarder
+	Queue     Queue
 }
 
 var (
@@ -72,9 +84,9 @@
 	timer := d.Clock.AfterFunc(r.Deadline.Sub(d.Clock.Now()), cancel)
 	defer timer.Stop()
 	job := &Job{ctx: ctx, request: r, reply: reply, done: make(chan carrier.Result, 1)}
-	if !d.Queue.Add(job) {
+	if err := d.Queue.Add(job); err != nil {
 		refused.Add(1)
-		return carrier.Result{Err: coder.Refuse(coder.QueueFull, "too many requests wait")}
+		return carrier.Result{Err: err}
 	}
 	// The worker always sends a result, and the reply is not used after it.
 	return <-job.done
@@ -84,6 +96,7 @@
 func (d *Dispatcher) Handle(_ context.Context, job *Job) {
 	result := d.answer(job)
 	count(result)
+	d.Queue.Done(job, result)
 	job.done <- result
 }
 
@@ -112,7 +125,7 @@
 	var tried []string
 	events := 0
 	for n := 1; ; n++ {
-		choice := d.choose(r, tried)
+		choice := d.Chooser.Choose(r, tried)
 		if !choice.OK {
 			if result.Err == nil {
 				result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint can take the request").WithRetryAfter(rule.Backoff)
@@ -155,28 +168,8 @@
 	return nil
 }
 
-func (d *Dispatcher) choose(r carrier.Request, tried []string) picker.Choice {
-	need := picker.Need{
-		RequestID:  r.ID,
-		DataCentre: d.DataCentre,
-		Work:       work(r),
-		Tried:      tried,
-		Random:     rand.Uint64(),
-		Now:        d.Clock.Now(),
-	}
-	p := picker.Picker[picker.TwoChoices]{}
-	choice := p.Pick(need, d.Endpoints.Of(r.Route.Deployment))
-	explainer.LogRouting(d.Log, r.ID, r.Account, r.Route.Deployment, choice)
-	return choice
-}
-
-// work estimates the tokens that a request costs an engine.
-func work(r carrier.Request) int {
-	return r.PromptTokens + r.MaxTokens
-}
-
 func (d *Dispatcher) attempt(job *Job, e picker.Endpoint, rule definer.Rule, events int) forwarder.Report {
-	w := work(job.request)
+	w := job.request.Work()
 	d.Endpoints.Sent(e.ID, w)
 	rep := d.Forwarder.Forward(job.ctx, forwarder.Attempt{
 		Request:     job.request,
