member: gossip, roster, acceptance, keys and status

Nodes did not know of each other: a change was applied when each node read the head, and a node without the store refused every keyed request after 3 s.

Nodes now pull statements from each other, take evidence of freshness from them, and keep it by a majority of the roster while the store is away. A change is announced to all peers and answered once it is in force. A lost answer of the commit is settled by sending the same transaction again. The dispatcher asks for freshness once more when a request leaves the queue, since a process may be paused in between.

--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -2,37 +2,44 @@
 //
 // Accepted changes form a log in the platform's table: one row for each
 // version, and a head row with the newest. A node follows the log and merges
-// the files after each change. Its version only grows. The node also keeps the
-// last moment at which it knew that its version was the newest; once that is
-// too long ago, it no longer answers for keys.
+// the files after each change. Its version only grows.
+//
+// The node also keeps evidence: the last moment at which it knew that the head
+// was not newer than its own version. Once that is longer ago than FreshFor, it
+// no longer answers for keys. Evidence comes from reading the head, from peers
+// that have evidence, and, if the store cannot be reached, from a majority of
+// the roster. The majority holds no state and orders nothing; the store alone
+// decides which change comes next.
+//
+// A change is in force once no node can answer by an older version: every node
+// has applied it, or a majority of the roster has and FreshFor has passed
+// since, so that a node that was not reached has no evidence left. Majorities
+// intersect, so such a node cannot find new evidence for an older version.
 package applier
 
 import (
 	"context"
-	"fmt"
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
-	"foxtailflow.example/foxtailflow/internal/config/parser"
+	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
-// The rows of the change log.
-const (
-	HeadKey      = "config/head"
-	ChangePrefix = "config/change/"
-)
-
 // FreshFor is how long a node answers for keys after it last knew that its
 // configuration was the newest.
 const FreshFor = 3 * time.Second
 
+// headWait bounds one read of the head. It is well under FreshFor, so that a
+// store that hangs is known to be unreachable while peers' evidence still holds.
+const headWait = time.Second
+
 // View is the configuration of a node at one moment.
 //
 // It is an immutable value; the With methods return changed copies.
@@ -40,7 +47,7 @@
 	Result merger.Result
 	Files  Files
 	Loaded bool
-	// Evidence is the last moment at which the version was known to be the newest.
+	// Evidence is the last moment at which no newer version was known to exist.
 	Evidence time.Time
 }
 
@@ -55,11 +62,52 @@
 // Version returns the version of the configuration.
 func (v View) Version() uint64 { return v.Result.Config.Version() }
 
+// Peers tells what the other nodes last stated of themselves.
+type Peers interface {
+	// Statements returns the newest statement of each node that has not left,
+	// with ages as of the call.
+	Statements() []messenger.State
+	// Running reports whether the node that made the statement counts as running.
+	Running(s messenger.State) bool
+}
+
+// Transport sends messages to peers.
+type Transport interface {
+	Announce(ctx context.Context, address string, a messenger.Announcement) (messenger.Applied, error)
+	Changes(ctx context.Context, address string, after uint64, limit int) (messenger.Changes, error)
+	Roster(ctx context.Context, address string) (messenger.Roster, error)
+}
+
 // Applier keeps the configuration in force on a node.
 type Applier struct {
 	Clock timekeeper.Clock
+	Log   zerolog.Logger
 	Table transactor.Table
-	cell  keeper.Cell[View]
+	// Objects keeps snapshots; without it the change log is never shortened.
+	Objects transactor.Objects
+	// Self names this node in the roster; the identifier in it must be that of
+	// one process only.
+	Self string
+	// Started is when this process has started.
+	Started time.Time
+	// Peers and Transport reach the other nodes; both may be nil for one that
+	// works alone.
+	Peers     Peers
+	Transport Transport
+	// Reader reports whether this node reads the head at every turn; nil means
+	// that it does.
+	Reader func() bool
+
+	cell     keeper.Cell[View]
+	roster   keeper.Cell[Roster]
+	store    keeper.Cell[storeState]
+	snapshot keeper.Cell[uint64]
+}
+
+// storeState is how the last read of the head ended.
+type storeState struct {
+	down bool
+	at   time.Time
 }
 
 // View returns the configuration and what is known of its age.
@@ -83,11 +131,45 @@
 	return nil
 }
 
+// StoreReachable reports whether the last read of the head succeeded.
+func (a *Applier) StoreReachable() bool { return !a.store.Get().down }
+
+// State adds to s what this node states of its configuration.
+func (a *Applier) State(s messenger.State) messenger.State {
+	// The view is read before the clock, so that no age is stated too young.
+	v, st, r := a.cell.Get(), a.store.Get(), a.roster.Get()
+	now := a.Clock.Now()
+	s.ConfigVersion = v.Version()
+	s.HasEvidence = !v.Evidence.IsZero()
+	if s.HasEvidence {
+		s.EvidenceAge = now.Sub(v.Evidence)
+	}
+	s.StoreUnreachable = st.down
+	if st.down {
+		s.StoreUnreachableAge = now.Sub(st.at)
+	}
+	s.RosterVersion = r.Version()
+	return s
+}
+
+// ownReadAfter is the age of the evidence at which a node that otherwise takes
+// it from peers reads the head itself; one read fits into what is left.
+const ownReadAfter = FreshFor / 2
+
+// Follow refreshes the view, unless evidence from peers keeps it fresh.
+func (a *Applier) Follow(ctx context.Context) error {
+	v := a.View()
+	if a.Reader != nil && !a.Reader() && v.Loaded && a.Clock.Now().Sub(v.Evidence) < ownReadAfter {
+		return nil
+	}
+	return a.Refresh(ctx)
+}
+
 // Refresh reads the head and applies the changes that are missing.
 func (a *Applier) Refresh(ctx context.Context) error {
 	// What was newest when the read began is known to be newest at that time.
 	began := a.Clock.Now()
-	version, _, err := a.head(ctx)
+	version, _, err := a.readHead(ctx)
 	if err != nil {
 		return err
 	}
@@ -102,48 +184,22 @@
 	return nil
 }
 
-// head returns the newest version and the version of its row.
-func (a *Applier) head(ctx context.Context) (version, row uint64, err error) {
-	r, err := a.Table.Get(ctx, HeadKey)
-	if coder.Is(err, coder.RowUnknown) {
-		return 0, 0, nil
-	}
-	if err != nil {
-		return 0, 0, err
-	}
-	if _, err := fmt.Sscanf(string(r.Value), "%d", &version); err != nil {
-		return 0, 0, coder.Wrap(coder.Internal, err, "malformed row %s", HeadKey)
-	}
-	return version, r.Version, nil
-}
-
-func (a *Applier) catchUp(ctx context.Context, version uint64) error {
-	files := a.View().Files
-	for files.Version() < version {
-		rows, err := a.Table.Scan(ctx, ChangePrefix, changeKey(files.Version()), scanPage)
-		if err != nil {
-			return err
-		}
-		if len(rows) == 0 {
-			return coder.New(coder.Internal, "the change log ends at version %d, before the head %d", files.Version(), version)
-		}
-		for _, r := range rows {
-			c, err := DecodeChange(r.Value)
-			if err != nil {
-				return err
-			}
-			files = files.WithChange(c)
+// readHead reads the head within headWait and notes whether the store answers.
+func (a *Applier) readHead(ctx context.Context) (version, row uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, headWait)
+	defer cancel()
+	version, row, err = a.head(ctx)
+	down, at := err != nil, a.Clock.Now()
+	a.store.Update(func(s storeState) (storeState, bool) {
+		if s.down != down {
+			a.Log.Warn().Bool("reachable", !down).Msg("reach of the store changed")
 		}
-	}
-	return a.apply(files)
-}
-
-const scanPage = 200
-
-func changeKey(version uint64) string {
-	return fmt.Sprintf("%s%016d", ChangePrefix, version)
+		return storeState{down: down, at: at}, true
+	})
+	return version, row, err
 }
 
+// apply puts files in force; a version that is not newer changes nothing.
 func (a *Applier) apply(files Files) error {
 	result, err := merger.Merge(files.List())
 	if err != nil {
@@ -158,125 +214,3 @@
 	})
 	return nil
 }
-
-// Change is one accepted change: a file set to new content, or removed.
-type Change struct {
-	Version uint64
-	File    string
-	Data    []byte
-	Removed bool
-}
-
-// Propose accepts a change if the file is still at the version seen, and
-// returns the new version.
-//
-// ConfigConflict: the file was changed since. Errors of the merge: the result
-// would not be valid; nothing was changed.
-func (a *Applier) Propose(ctx context.Context, c Change, seen uint64) (uint64, error) {
-	if err := a.Refresh(ctx); err != nil {
-		return 0, err
-	}
-	files := a.View().Files
-	if have := files.ChangedAt(c.File); have != seen {
-		return 0, coder.Refuse(coder.ConfigConflict, "file %s was changed at version %d, after version %d", c.File, have, seen)
-	}
-	c.Version = files.Version() + 1
-	if _, err := merger.Merge(files.WithChange(c).List()); err != nil {
-		return 0, err
-	}
-	if err := a.commit(ctx, c); err != nil {
-		return 0, err
-	}
-	return c.Version, a.Refresh(ctx)
-}
-
-// Seed accepts several files at once into an empty log.
-//
-// The files are checked as a whole, so that they may refer to one another in
-// any order.
-func (a *Applier) Seed(ctx context.Context, changes []Change) error {
-	var files Files
-	tx := transactor.Tx{}.WithAbsent(HeadKey)
-	for i, c := range changes {
-		c.Version = uint64(i) + 1
-		files = files.WithChange(c)
-		tx = tx.WithPut(changeKey(c.Version), EncodeChange(c))
-	}
-	if _, err := merger.Merge(files.List()); err != nil {
-		return err
-	}
-	_, err := a.Table.Commit(ctx, tx.WithPut(HeadKey, fmt.Appendf(nil, "%d", files.Version())))
-	return err
-}
-
-func (a *Applier) commit(ctx context.Context, c Change) error {
-	version, row, err := a.head(ctx)
-	if err != nil {
-		return err
-	}
-	if version != c.Version-1 {
-		return coder.Refuse(coder.ConfigConflict, "the configuration is at version %d, not %d", version, c.Version-1)
-	}
-	tx := transactor.Tx{}.
-		WithCheck(HeadKey, row).
-		WithAbsent(changeKey(c.Version)).
-		WithPut(HeadKey, fmt.Appendf(nil, "%d", c.Version)).
-		WithPut(changeKey(c.Version), EncodeChange(c))
-	_, err = a.Table.Commit(ctx, tx)
-	if coder.Is(err, coder.PlatformConflict) {
-		return coder.Refuse(coder.ConfigConflict, "another change was accepted first").WithCause(err)
-	}
-	return err
-}
-
-// Files is the folder of configuration files at one version.
-//
-// It is an immutable value; the With methods return changed copies.
-type Files struct {
-	version uint64
-	byName  map[string]Change
-}
-
-// WithChange returns a copy with one more change.
-func (f Files) WithChange(c Change) Files {
-	next := Files{version: c.Version, byName: make(map[string]Change, len(f.byName)+1)}
-	for name, file := range f.byName {
-		next.byName[name] = file
-	}
-	if c.Removed {
-		delete(next.byName, c.File)
-		return next
-	}
-	next.byName[c.File] = c
-	return next
-}
-
-// Version returns the version of the last change.
-func (f Files) Version() uint64 { return f.version }
-
-// ChangedAt returns the version that last set the file, 0 if there is none.
-func (f Files) ChangedAt(name string) uint64 { return f.byName[name].Version }
-
-// File returns the change that last set the file.
-func (f Files) File(name string) (Change, bool) {
-	c, ok := f.byName[name]
-	return c, ok
-}
-
-// Changes returns the last change of each file, in the order of their names.
-func (f Files) Changes() []Change {
-	changes := make([]Change, 0, len(f.byName))
-	for _, name := range slices.Sorted(maps.Keys(f.byName)) {
-		changes = append(changes, f.byName[name])
-	}
-	return changes
-}
-
-// List returns the files, in no order.
-func (f Files) List() []parser.File {
-	files := make([]parser.File, 0, len(f.byName))
-	for _, c := range f.byName {
-		files = append(files, parser.File{Name: c.File, Data: c.Data})
-	}
-	return files
-}
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -88,6 +88,10 @@
 	case coder.Internal:
 		return http.StatusInternalServerError
 	}
+	switch c {
+	case coder.ConfigNotLoaded, coder.ConfigOutcomeUnsure:
+		return http.StatusServiceUnavailable
+	}
 	switch c / 100 {
 	case 1, 3, 8:
 		return http.StatusBadRequest
--- a/internal/inner/messenger/codec.go
+++ b/internal/inner/messenger/codec.go
@@ -7,8 +7,10 @@
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
+// milliseconds rounds up, so that an age never arrives younger than it is.
 func milliseconds(d time.Duration) uint32 {
-	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+	ms := (d + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(max(int64(ms), 0), math.MaxUint32))
 }
 
 func duration(ms uint32) time.Duration {
@@ -30,6 +32,8 @@
 		StoreUnreachableAgeMs: milliseconds(s.StoreUnreachableAge),
 		RosterVersion:         s.RosterVersion,
 		Draining:              s.Draining,
+		Left:                  s.Left,
+		IdHash:                uint64(s.Hash),
 		StatedAgeMs:           milliseconds(s.StatedAge),
 	}
 	for _, w := range s.Work {
@@ -53,6 +57,8 @@
 		StoreUnreachableAge: duration(m.GetStoreUnreachableAgeMs()),
 		RosterVersion:       m.GetRosterVersion(),
 		Draining:            m.GetDraining(),
+		Left:                m.GetLeft(),
+		Hash:                Hash(m.GetIdHash()),
 		StatedAge:           duration(m.GetStatedAgeMs()),
 	}
 	for _, w := range m.GetWork() {
@@ -78,25 +84,46 @@
 }
 
 func encodePull(p Pull) *PullRequest {
-	m := &PullRequest{From: p.From, Own: encodeState(p.Own)}
+	m := &PullRequest{Empty: p.Empty}
+	if p.Own != nil {
+		m.Own = encodeState(*p.Own)
+	}
 	for _, k := range p.Known {
-		m.Known = append(m.Known, &KnownNode{Id: k.ID, Incarnation: k.Incarnation, Heartbeat: k.Heartbeat})
+		m.Known = append(m.Known, &KnownNode{IdHash: uint64(k.Hash), Incarnation: k.Incarnation, Heartbeat: k.Heartbeat})
 	}
 	return m
 }
 
 func decodePull(m *PullRequest) Pull {
-	p := Pull{From: m.GetFrom(), Own: decodeState(m.GetOwn())}
+	p := Pull{Empty: m.GetEmpty()}
+	if m.GetOwn() != nil {
+		own := decodeState(m.GetOwn())
+		p.Own = &own
+	}
 	for _, k := range m.GetKnown() {
-		p.Known = append(p.Known, Known{ID: k.GetId(), Incarnation: k.GetIncarnation(), Heartbeat: k.GetHeartbeat()})
+		p.Known = append(p.Known, Known{Hash: Hash(k.GetIdHash()), Incarnation: k.GetIncarnation(), Heartbeat: k.GetHeartbeat()})
 	}
 	return p
 }
 
+func encodeRoster(r *Roster) *RosterMessage {
+	if r == nil {
+		return nil
+	}
+	return &RosterMessage{Version: r.Version, Floor: r.Floor, Members: r.Members, Added: r.Added, Removed: r.Removed}
+}
+
+func decodeRoster(m *RosterMessage) *Roster {
+	if m == nil {
+		return nil
+	}
+	return &Roster{Version: m.GetVersion(), Floor: m.GetFloor(), Members: m.GetMembers(), Added: m.GetAdded(), Removed: m.GetRemoved()}
+}
+
 func encodeChanges(changes []Change) []*ConfigChange {
 	ms := make([]*ConfigChange, 0, len(changes))
 	for _, c := range changes {
-		ms = append(ms, &ConfigChange{Version: c.Version, File: c.File, Data: c.Data, Removed: c.Removed})
+		ms = append(ms, &ConfigChange{Version: c.Version, File: c.File, Data: c.Data, Removed: c.Removed, Proposal: c.Proposal})
 	}
 	return ms
 }
@@ -104,7 +131,7 @@
 func decodeChanges(ms []*ConfigChange) []Change {
 	changes := make([]Change, 0, len(ms))
 	for _, m := range ms {
-		changes = append(changes, Change{Version: m.GetVersion(), File: m.GetFile(), Data: m.GetData(), Removed: m.GetRemoved()})
+		changes = append(changes, Change{Version: m.GetVersion(), File: m.GetFile(), Data: m.GetData(), Removed: m.GetRemoved(), Proposal: m.GetProposal()})
 	}
 	return changes
 }
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -27,7 +27,6 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/front/receiver"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
-	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -46,6 +45,7 @@
 	queue      *queuer.Queue[*dispatcher.Job]
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
+	membership membership
 	stopping   atomic.Bool
 
 	callers   net.Listener
@@ -68,7 +68,7 @@
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.platform = platform
-	builds := []func() error{n.buildDecisions, n.buildRequests, n.buildMembership, n.buildAuthority}
+	builds := []func() error{n.buildMembership, n.buildDecisions, n.buildRequests, n.buildAuthority}
 	for _, build := range builds {
 		if err := build(); err != nil {
 			return nil, err
@@ -81,6 +81,7 @@
 	if n.operators, err = listen(s.OperatorsListen); err != nil {
 		return nil, err
 	}
+	n.membership.gossiper.Self.OperatorsAddress = n.OperatorsAddress()
 	return n, nil
 }
 
@@ -125,6 +126,7 @@
 	callers, operators := n.callersServer(), n.operatorsServer()
 	wg.Go(func() { n.serve(callers, n.callers) })
 	wg.Go(func() { n.serve(operators, n.operators) })
+	wg.Go(n.servePeers)
 	n.log.Info().Str("callers", n.CallersAddress()).Str("data-centre", n.settings.DataCentre).Msg("node started")
 	<-ctx.Done()
 	n.stop(callers)
@@ -143,8 +145,7 @@
 }
 
 func (n *Node) operatorsServer() *http.Server {
-	c := commander.Commander{Log: n.log, Applier: n.applier, CredentialHash: n.settings.OperatorHash}
-	return &http.Server{Handler: c.Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
+	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
 }
 
 func (n *Node) callersServer() *http.Server {
@@ -169,6 +170,7 @@
 // stop ends the callers' interface once what runs is finished.
 func (n *Node) stop(server *http.Server) {
 	n.stopping.Store(true)
+	n.membership.gossiper.Drain()
 	n.log.Info().Msg("node drains")
 	// Until the balancer has seen that the node is not ready, it still sends
 	// requests here, and they are served.
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -9,14 +9,18 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
+	"foxtailflow.example/foxtailflow/internal/config/merger"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
+	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 )
 
 // Commander serves operators.
@@ -25,6 +29,20 @@
 	Applier *applier.Applier
 	// CredentialHash is the SHA-256 of the operators' credential.
 	CredentialHash [32]byte
+	Clock          timekeeper.Clock
+	Nodes          Nodes
+	// Duties tells which duties this node holds.
+	Duties func() []string
+}
+
+// Nodes tells what is known of the nodes.
+type Nodes interface {
+	// Statements returns the newest statement of each other node.
+	Statements() []messenger.State
+	// Running reports whether the node that made the statement counts as running.
+	Running(s messenger.State) bool
+	// Own returns the statement of this node.
+	Own() messenger.State
 }
 
 // maxFile bounds one configuration file, in bytes.
@@ -38,73 +56,154 @@
 	r.PUT("/files/:name", c.guard(c.putFile))
 	r.DELETE("/files/:name", c.guard(c.removeFile))
 	r.GET("/merged", c.guard(c.showMerged))
+	r.POST("/check", c.guard(c.check))
+	r.POST("/keys", c.guard(c.createKey))
+	r.DELETE("/keys/:id", c.guard(c.withdrawKey))
+	r.GET("/status", c.guard(c.status))
+	r.DELETE("/nodes/:id", c.guard(c.forgetNode))
 	return r
 }
 
-// action is an operator's call; its result is the body of the answer.
-type action func(r *http.Request, ps httprouter.Params) ([]byte, error)
+// action is an operator's call.
+type action func(r *http.Request, ps httprouter.Params) (answer, error)
+
+// answer is the body of an answer; the zero status means that all was done.
+type answer struct {
+	status int
+	body   []byte
+}
+
+func ok(body []byte) (answer, error) { return answer{body: body}, nil }
 
 func (c Commander) guard(a action) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		err := authenticator.CheckOperator(c.CredentialHash, r.Header.Get("Authorization"))
-		var data []byte
+		var done answer
 		if err == nil {
-			data, err = a(r, ps)
+			done, err = a(r, ps)
 		}
 		if err != nil {
 			c.Log.Info().Str("method", r.Method).Str("path", r.URL.Path).Err(err).Msg("operator call refused")
-			encoder.WriteRefusal(w, coder.Of(err))
+			encoder.WriteRefusal(w, whole(err))
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(data)
+		if done.status != 0 {
+			w.WriteHeader(done.status)
+		}
+		_, _ = w.Write(done.body)
 	}
 }
 
-func (c Commander) listFiles(*http.Request, httprouter.Params) ([]byte, error) {
-	v := c.Applier.View()
-	return encodeFiles(v.Version(), v.Files.Changes()), nil
+// whole returns a failure of several faults as one that names them all.
+func whole(err error) coder.Error {
+	faults := faultsOf(err)
+	if len(faults) < 2 {
+		return coder.Of(err)
+	}
+	texts := make([]string, 0, len(faults))
+	for _, f := range faults {
+		texts = append(texts, strconv.Itoa(int(f.Code()))+": "+f.Message())
+	}
+	return coder.Refuse(faults[0].Code(), "%s", strings.Join(texts, "; "))
 }
 
-func (c Commander) readFile(_ *http.Request, ps httprouter.Params) ([]byte, error) {
-	change, ok := c.Applier.View().Files.File(ps.ByName("name"))
+// faultsOf splits the error of a merge into the faults that it joins.
+func faultsOf(err error) []coder.Error {
+	joined, ok := err.(interface{ Unwrap() []error })
 	if !ok {
-		return nil, coder.Refuse(coder.ConfigFileUnknown, "there is no file %s", ps.ByName("name"))
+		return []coder.Error{coder.Of(err)}
+	}
+	var faults []coder.Error
+	for _, e := range joined.Unwrap() {
+		faults = append(faults, coder.Of(e))
+	}
+	return faults
+}
+
+func (c Commander) listFiles(*http.Request, httprouter.Params) (answer, error) {
+	v := c.Applier.View()
+	return ok(encodeFiles(v.Version(), v.Files.Changes()))
+}
+
+func (c Commander) readFile(_ *http.Request, ps httprouter.Params) (answer, error) {
+	change, found := c.Applier.View().Files.File(ps.ByName("name"))
+	if !found {
+		return answer{}, coder.Refuse(coder.ConfigFileUnknown, "there is no file %s", ps.ByName("name"))
 	}
-	return change.Data, nil
+	return ok(change.Data)
 }
 
-func (c Commander) putFile(r *http.Request, ps httprouter.Params) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxFile+1))
+// readBody reads a body of up to limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, coder.Refuse(coder.MalformedBody, "the file did not arrive whole").WithCause(err)
+		return nil, coder.Refuse(coder.MalformedBody, "the body did not arrive whole").WithCause(err)
 	}
-	if len(data) > maxFile {
-		return nil, coder.Refuse(coder.BodyTooLarge, "a file is at most %d bytes", maxFile)
+	if int64(len(data)) > limit {
+		return nil, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	return data, nil
+}
+
+func (c Commander) putFile(r *http.Request, ps httprouter.Params) (answer, error) {
+	data, err := readBody(r, maxFile)
+	if err != nil {
+		return answer{}, err
 	}
 	return c.propose(r, applier.Change{File: ps.ByName("name"), Data: data})
 }
 
-func (c Commander) removeFile(r *http.Request, ps httprouter.Params) ([]byte, error) {
+func (c Commander) removeFile(r *http.Request, ps httprouter.Params) (answer, error) {
 	return c.propose(r, applier.Change{File: ps.ByName("name"), Removed: true})
 }
 
 // propose takes the version at which the operator has seen the file from the
 // query value seen; 0 means that the file did not exist.
-func (c Commander) propose(r *http.Request, change applier.Change) ([]byte, error) {
+func (c Commander) propose(r *http.Request, change applier.Change) (answer, error) {
 	seen, err := strconv.ParseUint(r.URL.Query().Get("seen"), 10, 64)
 	if err != nil {
-		return nil, coder.Refuse(coder.MalformedHeader, "the query value seen is not a version")
+		return answer{}, coder.Refuse(coder.MalformedHeader, "the query value seen is not a version")
+	}
+	accepted, err := c.Applier.Propose(r.Context(), change, seen)
+	return c.accepted(change, accepted, err, nil)
+}
+
+// accepted answers a change; a key is added where one was created.
+//
+// A change that is stored and not yet in force is an answer and no refusal.
+func (c Commander) accepted(change applier.Change, accepted applier.Acceptance, err error, k *createdKey) (answer, error) {
+	if err != nil && !coder.Is(err, coder.ConfigNotInForce) {
+		return answer{}, err
 	}
-	version, err := c.Applier.Propose(r.Context(), change, seen)
+	c.Log.Info().Uint64("version", accepted.Version).Str("file", change.File).Bool("removed", change.Removed).
+		Bool("in-force", accepted.InForce).Strs("missing", accepted.Missing).Msg("configuration changed")
+	done := answer{body: encodeAccepted(accepted, err, k)}
 	if err != nil {
-		return nil, err
+		done.status = http.StatusAccepted
 	}
-	c.Log.Info().Uint64("version", version).Str("file", change.File).Bool("removed", change.Removed).Msg("configuration changed")
-	return encodeVersion(version), nil
+	return done, nil
 }
 
-func (c Commander) showMerged(*http.Request, httprouter.Params) ([]byte, error) {
+func (c Commander) showMerged(*http.Request, httprouter.Params) (answer, error) {
 	v := c.Applier.View()
-	return encodeSettings(v.Version(), v.Result.Settings), nil
+	return ok(encodeSettings(v.Version(), v.Result.Settings))
+}
+
+// maxFolder bounds a whole folder of files, in bytes.
+const maxFolder = 64 << 20
+
+func (c Commander) check(r *http.Request, _ httprouter.Params) (answer, error) {
+	data, err := readBody(r, maxFolder)
+	if err != nil {
+		return answer{}, err
+	}
+	files, err := decodeFiles(data)
+	if err != nil {
+		return answer{}, err
+	}
+	if _, err := merger.Merge(files); err != nil {
+		return ok(encodeFaults(faultsOf(err)))
+	}
+	return ok(encodeFaults(nil))
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -22,6 +22,8 @@
 // Configs tells the configuration in force.
 type Configs interface {
 	Config() (definer.Config, error)
+	// Current fails with ViewNotCurrent if the configuration may be outdated.
+	Current() error
 }
 
 // Chooser chooses endpoints.
@@ -165,7 +167,8 @@
 	if key, ok := cfg.Key(r.KeyID); !ok || key.Account != r.Account {
 		return coder.Refuse(coder.KeyUnknown, "the key was withdrawn while the request waited")
 	}
-	return nil
+	// The process may have been paused since the request was accepted.
+	return d.Configs.Current()
 }
 
 func (d *Dispatcher) attempt(job *Job, e picker.Endpoint, rule definer.Rule, events int) forwarder.Report {
