--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -102,6 +102,8 @@
 	roster   keeper.Cell[Roster]
 	store    keeper.Cell[storeState]
 	snapshot keeper.Cell[uint64]
+	// rosterRead is when the roster was last read from its row.
+	rosterRead keeper.Cell[time.Time]
 }
 
 // storeState is how the last read of the head ended.
--- a/internal/config/applier/codec.go
+++ b/internal/config/applier/codec.go
@@ -95,6 +95,7 @@
 		})
 		e.Field("added", func(e *jx.Encoder) { e.Str(r.Added) })
 		e.Field("removed", func(e *jx.Encoder) { e.Str(r.Removed) })
+		e.Field("forgotten", func(e *jx.Encoder) { e.Bool(r.Forgotten) })
 	})
 	return e.Bytes()
 }
@@ -117,6 +118,8 @@
 			r.Added, err = d.Str()
 		case "removed":
 			r.Removed, err = d.Str()
+		case "forgotten":
+			r.Forgotten, err = d.Bool()
 		default:
 			err = d.Skip()
 		}
--- a/internal/config/applier/roster.go
+++ b/internal/config/applier/roster.go
@@ -62,6 +62,12 @@
 	return Roster{row: messenger.Roster{Version: r.row.Version + 1, Floor: floor, Members: members, Removed: member}}
 }
 
+// WithForgotten returns a copy whose removed member does not run any more.
+func (r Roster) WithForgotten() Roster {
+	r.row.Forgotten = true
+	return r
+}
+
 // Previous returns the roster from which this one was made.
 func (r Roster) Previous() Roster {
 	members := slices.DeleteFunc(slices.Clone(r.row.Members), func(m string) bool { return m == r.row.Added })
@@ -131,11 +137,18 @@
 	rosterPause = 100 * time.Millisecond
 )
 
+// rosterReadEvery is how often a member that reads the head also reads the
+// roster, in case that nobody is left who could tell it of a change.
+const rosterReadEvery = 10 * time.Second
+
 // Join makes this node a member once it has applied the head.
 func (a *Applier) Join(ctx context.Context) error {
-	if !a.View().Loaded || !a.StoreReachable() || a.roster.Get().Has(a.Self) {
+	if !a.View().Loaded || !a.StoreReachable() {
 		return nil
 	}
+	if a.roster.Get().Has(a.Self) {
+		return a.checkRoster(ctx)
+	}
 	for {
 		done, err := a.change(ctx, false, func(r Roster, floor uint64) (Roster, bool) {
 			for _, m := range r.Members() {
@@ -152,6 +165,23 @@
 	}
 }
 
+// checkRoster reads the roster when it is time to.
+func (a *Applier) checkRoster(ctx context.Context) error {
+	now, due := a.Clock.Now(), false
+	a.rosterRead.Update(func(last time.Time) (time.Time, bool) {
+		due = now.Sub(last) >= rosterReadEvery
+		return now, due
+	})
+	if !due || a.Reader != nil && !a.Reader() {
+		return nil
+	}
+	r, _, err := a.readRoster(ctx)
+	if err == nil {
+		a.install(r)
+	}
+	return err
+}
+
 // Leave takes this node out of the roster on a graceful stop.
 func (a *Applier) Leave(ctx context.Context) error { return a.Remove(ctx, a.Self) }
 
@@ -177,7 +207,7 @@
 	_, err = a.change(ctx, true, func(r Roster, floor uint64) (Roster, bool) {
 		for _, m := range r.Members() {
 			if NodeOf(m) == id {
-				return r.Without(m, floor), true
+				return r.Without(m, floor).WithForgotten(), true
 			}
 		}
 		return r, false
@@ -235,10 +265,25 @@
 		return false, err
 	}
 	a.install(next)
+	a.tellRoster(ctx, next)
 	a.Log.Info().Uint64("roster", next.Version()).Str("added", next.row.Added).Str("removed", next.row.Removed).Msg("roster changed")
 	return false, nil
 }
 
+// tellRoster sends a new roster to all peers; one that it does not reach hears
+// of it from others or reads the row.
+func (a *Applier) tellRoster(ctx context.Context, r Roster) {
+	row := r.row
+	var wg conc.WaitGroup
+	for _, s := range a.statements() {
+		wg.Go(func() {
+			changes, _ := a.View().Files.After(s.ConfigVersion)
+			_, _ = a.Transport.Announce(ctx, s.PeersAddress, messenger.Announcement{From: a.Self, Changes: toMessage(changes), Roster: &row})
+		})
+	}
+	wg.Wait()
+}
+
 // confirm returns once a majority of the roster before r has read r.
 //
 // It is a conflict if that is not so yet, since a later try may succeed.
@@ -256,6 +301,10 @@
 	if a.roster.Get().Version() >= r.Version() {
 		count(a.Self, a.settled())
 	}
+	if r.row.Forgotten {
+		// It states nothing any more that a reader of an older roster could use.
+		read.Put(r.row.Removed, true)
+	}
 	row := r.row
 	var wg conc.WaitGroup
 	for _, s := range a.statements() {
--- a/internal/inner/messenger/codec.go
+++ b/internal/inner/messenger/codec.go
@@ -110,14 +110,14 @@
 	if r == nil {
 		return nil
 	}
-	return &RosterMessage{Version: r.Version, Floor: r.Floor, Members: r.Members, Added: r.Added, Removed: r.Removed}
+	return &RosterMessage{Version: r.Version, Floor: r.Floor, Members: r.Members, Added: r.Added, Removed: r.Removed, Forgotten: r.Forgotten}
 }
 
 func decodeRoster(m *RosterMessage) *Roster {
 	if m == nil {
 		return nil
 	}
-	return &Roster{Version: m.GetVersion(), Floor: m.GetFloor(), Members: m.GetMembers(), Added: m.GetAdded(), Removed: m.GetRemoved()}
+	return &Roster{Version: m.GetVersion(), Floor: m.GetFloor(), Members: m.GetMembers(), Added: m.GetAdded(), Removed: m.GetRemoved(), Forgotten: m.GetForgotten()}
 }
 
 func encodeChanges(changes []Change) []*ConfigChange {
--- a/internal/inner/messenger/message.go
+++ b/internal/inner/messenger/message.go
@@ -144,6 +144,9 @@
 	// one before; one of them is empty.
 	Added   string
 	Removed string
+	// Forgotten says that the removed member does not run any more, on an
+	// operator's word.
+	Forgotten bool
 }
 
 // Announcement tells a peer of accepted changes, and of the roster if it is set.
