lab: relay whose links can be cut, delayed and reset

Failure tests need a node that some peers reach and others do not. A relay passes TCP connections on under rules by source address and target.

In a script: give each node peers source-address = 127.0.0.N, peers advertise = a LISTEN address of the relay, and the relay links = LISTEN>PEERS-LISTEN for each node; the platform address can be such a LISTEN too (its source is then 127.0.0.1).

A cut closes nothing and holds bytes back until the link is restored; reset=true closes; delay=50ms delays both ways. The script command request takes -from IP and -timeout DURATION, and with a leading ! the request must now fail.

--- /dev/null
+++ b/internal/lab/relayer/control.go
@@ -0,0 +1,58 @@
+package relayer
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Handler returns the control interface of the relay.
+//
+// POST /lab/link sets the rule of the source "from" and the target "to" to the
+// given "cut", "reset" and "delay"; a call with none of the three restores it.
+// Without "from" and "to" it holds for all connections and drops other rules.
+func (r *Relay) Handler() http.Handler {
+	router := httprouter.New()
+	router.POST("/lab/link", func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		rule, err := parseRule(req.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Set(rule)
+	})
+	router.GET("/lab/record", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		for _, rule := range r.rules.Get().all {
+			_, _ = fmt.Fprintf(w, "rule from=%s to=%s cut=%t reset=%t delay=%v\n", rule.From, rule.To, rule.Cut, rule.Reset, rule.Delay)
+		}
+	})
+	return router
+}
+
+func parseRule(q url.Values) (r Rule, err error) {
+	for name := range q {
+		v := q.Get(name)
+		switch name {
+		case "from":
+			r.From = v
+		case "to":
+			r.To = v
+		case "cut":
+			r.Cut, err = strconv.ParseBool(v)
+		case "reset":
+			r.Reset, err = strconv.ParseBool(v)
+		case "delay":
+			r.Delay, err = time.ParseDuration(v)
+		default:
+			err = fmt.Errorf("there is no value %q", name)
+		}
+		if err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -156,17 +156,32 @@
 }
 
 // cmdRequest sends one request and writes status, header and body to a file:
-// request FILE METHOD URL [BODY [HEADER: VALUE]...]; a BODY of @NAME is read
-// from a file of the script.
+// request [-from IP] [-timeout DURATION] FILE METHOD URL [BODY [HEADER: VALUE]...];
+// a BODY of @NAME is read from a file of the script. With a leading ! the
+// request must get no whole answer.
 func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	var s sender
+	for len(args) > 2 && strings.HasPrefix(args[0], "-") {
+		switch args[0] {
+		case "-from":
+			s.from = args[1]
+		case "-timeout":
+			d, err := time.ParseDuration(args[1])
+			ts.Check(err)
+			s.timeout = d
+		default:
+			ts.Fatalf("request: there is no option %s", args[0])
+		}
+		args = args[2:]
+	}
 	if len(args) > 3 {
 		if name, ok := strings.CutPrefix(args[3], "@"); ok {
 			args[3] = ts.ReadFile(name)
 		}
 	}
-	text, err := send(args[1:])
-	if err != nil && !neg {
-		ts.Fatalf("request: %v", err)
+	text, err := s.send(args[1:])
+	if (err != nil) != neg {
+		ts.Fatalf("request: error %v, answer %q", err, text)
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
@@ -178,14 +193,33 @@
 	ts.Check(err)
 	text := ""
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if text, err = send(args[2:]); err == nil && strings.Contains(text, args[1]) {
+		if text, err = (sender{}).send(args[2:]); err == nil && strings.Contains(text, args[1]) {
 			return
 		}
 	}
 	ts.Fatalf("no %q within %v; the last answer was %q, error %v", args[1], limit, text, err)
 }
 
-func send(args []string) (string, error) {
+// sender sends requests.
+type sender struct {
+	// from is the local IP address; empty means any.
+	from string
+	// timeout bounds one request; 0 means 20 s.
+	timeout time.Duration
+}
+
+func (s sender) client() http.Client {
+	if s.timeout == 0 {
+		s.timeout = 20 * time.Second
+	}
+	d := &net.Dialer{}
+	if s.from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(s.from)}
+	}
+	return http.Client{Timeout: s.timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
+}
+
+func (s sender) send(args []string) (string, error) {
 	var body io.Reader
 	if len(args) > 2 {
 		body = strings.NewReader(args[2])
@@ -198,7 +232,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := s.client()
 	resp, err := client.Do(req)
 	if err != nil {
 		return "", err
