lab: platform stand-in with limits, late orders and lost calls

Tests of budgets, orders and recovery need a platform that refuses beyond its rate, delivers late and loses calls on either side of their effect.

POST /lab/reclaim?tier=spot&data-centre=dc-1 withdraws a whole tier. All fetches of weights share weights-rate.

Measured: platform.txtar passes with the race detector. With a limit that admits all: "platform.txtar:13: no match for `^429` found in put". With orders delivered at once: "platform.txtar:41: unexpected match for `spare` found".

--- a/internal/lab/provider/faults.go
+++ b/internal/lab/provider/faults.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Faults are the failures that the platform shows at present.
@@ -18,11 +22,17 @@
 	FleetDown bool
 	// LoseAnswers is the share of writes that take effect but answer nothing.
 	LoseAnswers float64
-	// WeightsDelay is how long a fetch of weights takes.
+	// LoseRequests is the share of writes without effect that answer nothing.
+	LoseRequests float64
+	// WeightsDelay is added to each fetch of weights.
 	WeightsDelay time.Duration
-	// ReadsPerSecond and WritesPerSecond limit the table; 0 means no limit.
+	// ReadsPerSecond and WritesPerSecond limit the table in the place of its
+	// settings; 0 leaves those in force.
 	ReadsPerSecond  int
 	WritesPerSecond int
+	// Unavailable lists what the platform cannot deliver: a tier such as
+	// "spot", or a tier in one data centre such as "spot/dc-1".
+	Unavailable []string
 }
 
 type op int
@@ -30,9 +40,14 @@
 const (
 	opRead op = iota
 	opWrite
-	opFleet
+	opList
+	opOrder
 )
 
+func (o op) fleet() bool { return o == opList || o == opOrder }
+
+func (o op) changes() bool { return o == opWrite || o == opOrder }
+
 // SetFaults replaces the failures.
 func (m *Memory) SetFaults(f Faults) {
 	m.mu.Lock()
@@ -47,40 +62,94 @@
 	return m.faults
 }
 
-// admit counts a call, delays it, and refuses it during an outage.
+// admit counts a call, delays it, and refuses it beyond the rate limit or
+// during an outage.
 func (m *Memory) admit(ctx context.Context, o op) error {
 	m.mu.Lock()
 	f := m.faults
+	within := m.countLocked(o)
+	m.mu.Unlock()
+	if f.Delay > 0 {
+		if err := m.Clock.Sleep(ctx, f.Delay); err != nil {
+			return err
+		}
+	}
+	if f.TableDown && !o.fleet() || f.FleetDown && o.fleet() {
+		return coder.Refuse(coder.PlatformUnavailable, "the platform is down")
+	}
+	if !within {
+		return coder.Refuse(coder.BudgetSpent, "the platform's rate limit is reached").WithRetryAfter(time.Second)
+	}
+	if o.changes() && drawn(f.LoseRequests) {
+		return coder.New(coder.PlatformUnsure, "the request was lost")
+	}
+	return ctx.Err()
+}
+
+// countLocked counts a call of the table and reports whether it is within the
+// rate limit. A call is one read or write, whatever the number of its rows.
+func (m *Memory) countLocked(o op) bool {
 	switch o {
 	case opRead:
 		m.reads++
+		return m.readLimit.allow(m.Clock.Now(), first(m.faults.ReadsPerSecond, m.ReadsPerSecond))
 	case opWrite:
 		m.writes++
-	case opFleet:
+		return m.writeLimit.allow(m.Clock.Now(), first(m.faults.WritesPerSecond, m.WritesPerSecond))
+	case opList, opOrder:
 	}
-	m.mu.Unlock()
-	if f.Delay > 0 {
-		if err := m.Clock.Sleep(ctx, f.Delay); err != nil {
-			return err
+	return true
+}
+
+func first(values ...int) int {
+	for _, v := range values {
+		if v > 0 {
+			return v
 		}
 	}
-	down := f.TableDown
-	if o == opFleet {
-		down = f.FleetDown
+	return 0
+}
+
+// limit is a rate limit that may change; the zero value has a full bucket.
+type limit struct {
+	perSecond int
+	limiter   *rate.Limiter
+}
+
+// allow reports whether a call at now is within the rate; 0 means no limit.
+//
+// The bucket holds the calls of one second.
+func (l *limit) allow(now time.Time, perSecond int) bool {
+	if perSecond == 0 {
+		return true
 	}
-	if down {
-		return coder.Refuse(coder.PlatformUnavailable, "the platform is down")
+	if l.limiter == nil || l.perSecond != perSecond {
+		l.perSecond = perSecond
+		l.limiter = rate.NewLimiter(rate.Limit(perSecond), perSecond)
 	}
-	return ctx.Err()
+	return l.limiter.AllowN(now, 1)
 }
 
+func drawn(share float64) bool { return share > 0 && rand.Float64() < share }
+
 // answer loses the answer of some calls that took effect.
-func (m *Memory) answer(ctx context.Context, _ op) error {
+func (m *Memory) answer(ctx context.Context) error {
 	m.mu.Lock()
 	share := m.faults.LoseAnswers
 	m.mu.Unlock()
-	if share > 0 && rand.Float64() < share {
+	if drawn(share) {
 		return coder.New(coder.PlatformUnsure, "the answer was lost")
 	}
 	return ctx.Err()
 }
+
+// unavailable reports whether the platform cannot deliver a tier at present.
+func (f Faults) unavailable(tier transactor.Tier, dataCentre string) bool {
+	for _, u := range f.Unavailable {
+		t, dc, one := strings.Cut(u, "/")
+		if t == string(tier) && (!one || dc == dataCentre) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/lab/provider/memory.go
+++ b/internal/lab/provider/memory.go
@@ -2,9 +2,10 @@
 //
 // Memory is the table, object store, VM list and the receivers of orders and
 // reports in one value, kept in memory. Server puts it behind HTTP as its own
-// process. Faults are set by name: delay, outage, rate limits, and an answer
-// that is lost after its call took effect. Whatever the stand-in receives is
-// recorded, so that a test can judge what really arrived.
+// process. Faults are set by name: delay, outage, rate limits, tiers that are
+// not available, and answers that are lost before or after the effect of their
+// call. Whatever the stand-in receives is recorded, so that a test can judge
+// what really arrived.
 package provider
 
 import (
@@ -29,6 +30,19 @@
 	Lag time.Duration
 	// RefuseStale makes the receivers of orders refuse an old fencing token.
 	RefuseStale bool
+	// ReadsPerSecond and WritesPerSecond limit the table and object store;
+	// 0 means no limit.
+	ReadsPerSecond  int
+	WritesPerSecond int
+	// WeightsRate is the rate of the weight store in bytes a second, which all
+	// fetches share; 0 means no limit.
+	WeightsRate int
+	// OrderDelay is the time from an order for endpoints to their listing.
+	OrderDelay time.Duration
+	// Notice is the time that a withdrawn VM stays listed as leaving.
+	Notice time.Duration
+	// Spares are VMs that orders can deliver; it must not be changed later.
+	Spares []transactor.VM
 
 	mu      sync.Mutex
 	commits uint64
@@ -42,6 +56,11 @@
 	record  []string
 	reads   int64
 	writes  int64
+	// readLimit and writeLimit hold the buckets of the rate limits.
+	readLimit  limit
+	writeLimit limit
+	// weightsFree is when the weight store has served all fetches so far.
+	weightsFree time.Time
 }
 
 type listing struct {
@@ -119,7 +138,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return version, m.answer(ctx, opWrite)
+	return version, m.answer(ctx)
 }
 
 func (m *Memory) commit(tx transactor.Tx) (uint64, error) {
@@ -163,7 +182,7 @@
 	if taken {
 		return coder.Refuse(coder.ObjectExists, "object %q exists", name)
 	}
-	return o.m.answer(ctx, opWrite)
+	return o.m.answer(ctx)
 }
 
 // Get returns an object.
--- a/internal/lab/provider/server.go
+++ b/internal/lab/provider/server.go
@@ -41,6 +41,7 @@
 	r.GET("/weights/:name", s.weights)
 	r.POST("/lab/faults", s.setFaults)
 	r.POST("/lab/vms", s.setVMs)
+	r.POST("/lab/reclaim", s.reclaim)
 	r.GET("/lab/record", s.record)
 	r.GET("/lab/counts", s.counts)
 	return r
@@ -192,6 +193,10 @@
 			f.FleetDown, err = strconv.ParseBool(v)
 		case "lose-answers":
 			f.LoseAnswers, err = strconv.ParseFloat(v, 64)
+		case "lose-requests":
+			f.LoseRequests, err = strconv.ParseFloat(v, 64)
+		case "unavailable":
+			f.Unavailable = strings.Split(v, ",")
 		case "weights-delay":
 			f.WeightsDelay, err = time.ParseDuration(v)
 		case "reads-per-second":
@@ -221,6 +226,13 @@
 	s.Memory.SetVMs(vms)
 }
 
+// reclaim takes the query values tier and data-centre.
+func (s Server) reclaim(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := r.URL.Query()
+	n := s.Memory.Reclaim(transactor.Tier(q.Get("tier")), q.Get("data-centre"))
+	_, _ = fmt.Fprintf(w, "reclaimed=%d\n", n)
+}
+
 func (s Server) record(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	for _, line := range s.Memory.Record() {
 		_, _ = fmt.Fprintln(w, line)
--- a/internal/lab/starter/standins.go
+++ b/internal/lab/starter/standins.go
@@ -18,6 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // standIn builds the server of a stand-in from its settings.
@@ -83,25 +84,39 @@
 
 func platformServer(f *configurer.File) (*http.Server, error) {
 	m := &provider.Memory{
-		Clock:       timekeeper.System{},
-		Lag:         f.Duration("list-lag", 0),
-		RefuseStale: f.Flag("refuse-stale", false),
+		Clock:           timekeeper.System{},
+		Lag:             f.Duration("list-lag", 0),
+		RefuseStale:     f.Flag("refuse-stale", false),
+		ReadsPerSecond:  f.Number("reads-per-second", 0),
+		WritesPerSecond: f.Number("writes-per-second", 0),
+		WeightsRate:     f.Number("weights-rate", 0),
+		OrderDelay:      f.Duration("order-delay", 0),
+		Notice:          f.Duration("notice", 2*time.Second),
 	}
-	if path := f.Text("vms", ""); path != "" {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return nil, err
-		}
-		vms, err := encoder.DecodeVMs(data)
-		if err != nil {
-			return nil, err
-		}
-		m.SetVMs(vms)
+	vms, err := readVMs(f.Text("vms", ""))
+	if err != nil {
+		return nil, err
+	}
+	m.SetVMs(vms)
+	if m.Spares, err = readVMs(f.Text("spares", "")); err != nil {
+		return nil, err
 	}
 	limit := f.Duration("connection-limit", connectionLimit)
 	return &http.Server{Handler: provider.Server{Memory: m}.Handler(), ReadHeaderTimeout: limit}, nil
 }
 
+// readVMs reads a list of VMs from a JSON file; no path means no VMs.
+func readVMs(path string) ([]transactor.VM, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.DecodeVMs(data)
+}
+
 func engineServer(f *configurer.File) (*http.Server, error) {
 	e := generator.New(timekeeper.System{}, generator.Settings{
 		Model:                f.Text("model", "model"),
