lab: engine stand-in with batches, prefix cache, resume and KV transfer

Decisions on roles, prefixes and drains need engines whose phases cost differently, whose caches report late, and whose changes cut what runs.

The service streams POST /echo both ways. Settings of stand-ins that cannot be read are now refused; before, they were silently replaced by the default.

Measured: engine.txtar, TestGateOrder and TestEchoStreams pass with the race detector. Without the mechanisms: gate_test.go:27: not true: in(high) && !in(late) && !in(low) engine.txtar:61: no match for `cut id=req-5 order=ord-1` found in record engine.txtar:18: no match for `"cached_tokens":64` found in second engine.txtar:16: no match for `^\[\]$` found in events

--- a/internal/lab/configurer/settings.go
+++ b/internal/lab/configurer/settings.go
@@ -5,6 +5,7 @@
 package configurer
 
 import (
+	"strconv"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -17,6 +18,7 @@
 	name string
 	sec  *ini.Section
 	used map[string]bool
+	err  error
 }
 
 // Load reads the section of one kind of stand-in from a settings file.
@@ -28,27 +30,51 @@
 	return &File{name: path, sec: doc.Section(section), used: make(map[string]bool)}, nil
 }
 
-func (f *File) key(name string) *ini.Key {
+// value reads a key, or returns its default where it is not set; the first
+// value that cannot be read is kept for Check.
+func value[T any](f *File, name string, otherwise T, parse func(string) (T, error)) T {
 	f.used[name] = true
-	return f.sec.Key(name)
+	if !f.sec.HasKey(name) {
+		return otherwise
+	}
+	v, err := parse(f.sec.Key(name).String())
+	if err != nil && f.err == nil {
+		f.err = coder.Refuse(coder.SettingsBad, "settings %s: key %s: %v", f.name, name, err)
+	}
+	return v
 }
 
 // Text returns a value or its default.
-func (f *File) Text(name, otherwise string) string { return f.key(name).MustString(otherwise) }
+func (f *File) Text(name, otherwise string) string {
+	return value(f, name, otherwise, func(s string) (string, error) { return s, nil })
+}
 
 // Number returns a value or its default.
-func (f *File) Number(name string, otherwise int) int { return f.key(name).MustInt(otherwise) }
+func (f *File) Number(name string, otherwise int) int {
+	return value(f, name, otherwise, strconv.Atoi)
+}
+
+// Fraction returns a value or its default.
+func (f *File) Fraction(name string, otherwise float64) float64 {
+	return value(f, name, otherwise, func(s string) (float64, error) { return strconv.ParseFloat(s, 64) })
+}
 
 // Flag returns a value or its default.
-func (f *File) Flag(name string, otherwise bool) bool { return f.key(name).MustBool(otherwise) }
+func (f *File) Flag(name string, otherwise bool) bool {
+	return value(f, name, otherwise, strconv.ParseBool)
+}
 
 // Duration returns a value or its default.
 func (f *File) Duration(name string, otherwise time.Duration) time.Duration {
-	return f.key(name).MustDuration(otherwise)
+	return value(f, name, otherwise, time.ParseDuration)
 }
 
-// Check fails with SettingsBad if the file has a key that nothing has read.
+// Check fails with SettingsBad if the file has a key that nothing has read, or
+// a value that could not be read.
 func (f *File) Check() error {
+	if f.err != nil {
+		return f.err
+	}
 	for _, name := range f.sec.KeyStrings() {
 		if !f.used[name] {
 			return coder.Refuse(coder.SettingsBad, "settings %s: there is no key %s", f.name, name)
--- a/internal/lab/generator/engine.go
+++ b/internal/lab/generator/engine.go
@@ -1,16 +1,22 @@
 // Package generator is a stand-in for a model engine.
 //
 // It answers the OpenAI paths with text that is a function of the prompt, so
-// that a stream continued elsewhere goes on with the same words. Reading a
-// prompt and writing tokens take time by different rates, and the more
-// requests run, the slower each token comes. It reports its load with a lag
-// and takes orders; by setting it refuses an old fencing token or ignores it.
+// that a stream continued elsewhere goes on with the same words. Requests are
+// batched continuously: each is let in by priority when there are a slot and
+// memory for it, its prompt is read in chunks, one chunk of the engine at a
+// time, and then a token is written in each step, which takes longer the more
+// requests write. The beginnings of prompts stay in a bounded cache, whose
+// events come late and with gaps. The engine reports its load with a lag and
+// takes orders; by setting it refuses an old fencing token or ignores it. An
+// order that takes the engine out of service cuts what still runs, so that a
+// change without a drain shows.
 package generator
 
 import (
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
@@ -24,12 +30,19 @@
 	// PrefillRate and DecodeRate are tokens a second.
 	PrefillRate int
 	DecodeRate  int
+	// StepMin is the least time of one decode step: a small batch is no faster.
+	StepMin time.Duration
 	// Slots is the number of requests in work at once.
 	Slots int
-	// Pieces is the size of the prefix cache.
+	// Pieces is the engine memory, for requests in work and the prefix cache.
 	Pieces int
-	// ReportLag is the age of load reports.
+	// PieceTransfer is the time to export or import one piece.
+	PieceTransfer time.Duration
+	// ReportLag is the age of load reports, EventLag that of cache events.
 	ReportLag time.Duration
+	EventLag  time.Duration
+	// EventLoss is the share of cache events that are lost.
+	EventLoss float64
 	// RoleChange is how long a change of role takes.
 	RoleChange time.Duration
 	// CheckFencing makes the engine refuse an order with an old token.
@@ -43,17 +56,23 @@
 	Clock    timekeeper.Clock
 	Settings Settings
 
-	mu       sync.Mutex
-	state    speaker.State
-	running  map[string]*run
-	waiting  int
-	backlog  int
-	slots    chan struct{}
-	leaving  bool
-	reports  []stamped
-	record   []string
-	faults   Faults
-	answered int
+	// admission holds the slots and memory; reading lets one prompt be read.
+	admission gate
+	reading   gate
+
+	mu         sync.Mutex
+	state      speaker.State
+	running    map[string]*run
+	kept       map[string]keptRun
+	keptOrder  []string
+	backlog    int
+	prefilling int
+	decoding   int
+	leaving    bool
+	cache      cache
+	reports    []stamped
+	record     []string
+	faults     Faults
 }
 
 // Faults are the failures that the engine shows at present.
@@ -66,10 +85,12 @@
 	Swap bool
 }
 
+// run is a request that the engine has.
 type run struct {
 	cancel context.CancelFunc
-	prompt []byte
-	total  int
+	// admitted says that the work on it has begun.
+	admitted bool
+	pieces   []uint64
 }
 
 type stamped struct {
@@ -77,14 +98,27 @@
 	load speaker.Load
 }
 
+// The roles and phases of an engine.
+const (
+	roleBoth    = "both"
+	rolePrefill = "prefill"
+	roleDecode  = "decode"
+
+	phaseServing  = "serving"
+	phaseChanging = "changing"
+)
+
 // New returns an engine that serves both phases.
 func New(clock timekeeper.Clock, s Settings) *Engine {
 	return &Engine{
-		Clock:    clock,
-		Settings: s,
-		state:    speaker.State{Role: "both", Models: []string{s.Model}, Phase: "serving"},
-		running:  make(map[string]*run),
-		slots:    make(chan struct{}, max(s.Slots, 1)),
+		Clock:     clock,
+		Settings:  s,
+		admission: gate{slots: max(s.Slots, 1), pieces: max(s.Pieces, 1)},
+		reading:   gate{slots: 1, pieces: math.MaxInt},
+		state:     speaker.State{Role: roleBoth, Models: []string{s.Model}, Phase: phaseServing},
+		running:   make(map[string]*run),
+		kept:      make(map[string]keptRun),
+		cache:     cache{loss: s.EventLoss},
 	}
 }
 
@@ -112,65 +146,19 @@
 func (e *Engine) note(format string, args ...any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.record = append(e.record, fmt.Sprintf(format, args...))
+	e.noteLocked(format, args...)
 }
 
-// enter waits for a slot and registers the request.
-func (e *Engine) enter(ctx context.Context, id string, r *run, promptTokens int) error {
-	e.mu.Lock()
-	e.waiting++
-	e.backlog += promptTokens
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.waiting--
-		e.mu.Unlock()
-	}()
-	select {
-	case <-ctx.Done():
-		e.mu.Lock()
-		e.backlog -= promptTokens
-		e.mu.Unlock()
-		return ctx.Err()
-	case e.slots <- struct{}{}:
-	}
-	e.mu.Lock()
-	e.running[id] = r
-	e.mu.Unlock()
-	return nil
-}
-
-func (e *Engine) leave(id string) {
-	e.mu.Lock()
-	delete(e.running, id)
-	e.answered++
-	e.mu.Unlock()
-	<-e.slots
-}
-
-// prefill waits as long as the engine reads the prompt.
-func (e *Engine) prefill(ctx context.Context, promptTokens int) error {
-	d := time.Duration(promptTokens) * time.Second / time.Duration(max(e.Settings.PrefillRate, 1))
-	err := e.Clock.Sleep(ctx, d)
-	e.mu.Lock()
-	e.backlog -= promptTokens
-	e.mu.Unlock()
-	return err
-}
-
-// step waits as long as one token takes beside the requests in work.
-func (e *Engine) step(ctx context.Context) error {
-	e.mu.Lock()
-	n := len(e.running)
-	e.mu.Unlock()
-	d := time.Duration(max(n, 1)) * time.Second / time.Duration(max(e.Settings.DecodeRate, 1))
-	return e.Clock.Sleep(ctx, d)
+func (e *Engine) noteLocked(format string, args ...any) {
+	e.record = append(e.record, fmt.Sprintf(format, args...))
 }
 
-// Cancel stops the work on a request.
+// Cancel stops the work on a request; false means that there is none.
 func (e *Engine) Cancel(id string) bool {
 	e.mu.Lock()
 	r, ok := e.running[id]
+	delete(e.kept, id)
+	e.noteLocked("cancel id=%s running=%t", id, ok)
 	e.mu.Unlock()
 	if ok {
 		r.cancel()
@@ -180,10 +168,11 @@
 
 // Load returns a load report as old as the lag.
 func (e *Engine) Load() speaker.Load {
+	free := e.admission.free()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	e.reports = append(e.reports, stamped{at: now, load: e.loadNow()})
+	e.reports = append(e.reports, stamped{at: now, load: e.loadLocked(free)})
 	shown := e.reports[0].load
 	keep := 0
 	for i, r := range e.reports {
@@ -196,18 +185,24 @@
 	return shown
 }
 
-func (e *Engine) loadNow() speaker.Load {
+func (e *Engine) loadLocked(free int) speaker.Load {
+	admitted := 0
+	for _, r := range e.running {
+		if r.admitted {
+			admitted++
+		}
+	}
 	return speaker.Load{
-		InFlight:   len(e.running),
-		Queued:     e.waiting,
+		InFlight:   admitted,
+		Queued:     len(e.running) - admitted,
 		Backlog:    e.backlog,
-		FreePieces: max(e.Settings.Pieces-len(e.running), 0),
+		FreePieces: free,
 		Role:       e.state.Role,
-		Changing:   e.state.Phase == "changing",
+		Changing:   e.state.Phase == phaseChanging,
 	}
 }
 
-// State returns the engine's state.
+// State returns the engine's state; requests that wait are in flight too.
 func (e *Engine) State() speaker.State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -216,47 +211,12 @@
 	return s
 }
 
-// Order takes an order; false means that its fencing token was refused.
-func (e *Engine) Order(ctx context.Context, o speaker.Order) bool {
-	e.note("order id=%s fencing-token=%d action=%s value=%s", o.ID, o.FencingToken, o.Action, o.Value)
-	e.mu.Lock()
-	if o.FencingToken < e.state.FencingToken {
-		e.record = append(e.record, fmt.Sprintf("stale id=%s fencing-token=%d newest=%d", o.ID, o.FencingToken, e.state.FencingToken))
-		if e.Settings.CheckFencing {
-			e.mu.Unlock()
-			return false
-		}
-	}
-	again := e.state.LastOrder == o.ID
-	e.state.FencingToken = max(e.state.FencingToken, o.FencingToken)
-	if !again {
-		e.state.Phase = "changing"
-	}
-	e.mu.Unlock()
-	if again {
-		return true
-	}
-	_ = e.Clock.Sleep(context.WithoutCancel(ctx), e.Settings.RoleChange)
-	e.take(o)
-	return true
-}
-
-func (e *Engine) take(o speaker.Order) {
+// CacheEvents returns the events of the prefix cache after a sequence number,
+// but for those that are younger than the lag.
+func (e *Engine) CacheEvents(after uint64) []speaker.CacheEvent {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch o.Action {
-	case speaker.SetRole:
-		e.state.Role = o.Value
-	case speaker.LoadModel:
-		e.state.Models = append(e.state.Models, o.Value)
-	case speaker.LoadAdapter:
-		e.state.Adapters = append(e.state.Adapters, o.Value)
-	case speaker.SetVersion:
-		e.state.Version = o.Value
-	}
-	e.state.LastOrder = o.ID
-	e.state.Phase = "serving"
-	e.record = append(e.record, fmt.Sprintf("applied id=%s", o.ID))
+	return e.cache.after(after, e.Clock.Now().Add(-e.Settings.EventLag))
 }
 
 var words = []string{"amber", "cedar", "clove", "comb", "resin", "wax", "pine", "soft", "firm", "damp", "hold", "warm"}
--- a/internal/lab/generator/server.go
+++ b/internal/lab/generator/server.go
@@ -1,14 +1,12 @@
 package generator
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/go-faster/jx"
 	"github.com/julienschmidt/httprouter"
 
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
@@ -18,9 +16,6 @@
 // maxRequest bounds the body of one request, in bytes.
 const maxRequest = 16 << 20
 
-// defaultTokens is the length of an answer without a bound.
-const defaultTokens = 24
-
 // Handler returns the engine's HTTP interface and the controls of the stand-in.
 func (e *Engine) Handler() http.Handler {
 	r := httprouter.New()
@@ -33,6 +28,13 @@
 		_, _ = w.Write(speaker.EncodeState(e.State()))
 	})
 	r.POST("/engine/orders", e.order)
+	r.POST("/engine/resume/:id", e.resume)
+	r.POST("/engine/kv/export", e.exportKV)
+	r.POST("/engine/kv/import", e.importKV)
+	r.GET("/engine/cache-events", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		_, _ = w.Write(speaker.EncodeCacheEvents(e.CacheEvents(after)))
+	})
 	r.POST("/engine/cancel/:id", func(_ http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
 		e.Cancel(ps.ByName("id"))
 	})
@@ -65,6 +67,38 @@
 	}
 }
 
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	asked, err := readKV(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	kv, ok := e.ExportKV(r.Context(), asked.RequestID)
+	if !ok {
+		http.Error(w, "there is no such prompt", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(speaker.EncodeKV(kv))
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	kv, err := readKV(r)
+	if err == nil {
+		err = e.ImportKV(r.Context(), kv)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+func readKV(r *http.Request) (speaker.KV, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxRequest))
+	if err != nil {
+		return speaker.KV{}, err
+	}
+	return speaker.DecodeKV(data)
+}
+
 func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	q := r.URL.Query()
 	var f Faults
@@ -81,171 +115,3 @@
 		e.SetLeaving(on)
 	}
 }
-
-// job is one request in work.
-type job struct {
-	engine *Engine
-	id     string
-	prompt decoder.Prompt
-	encode encodePiece
-	from   int
-	total  int
-	faults Faults
-}
-
-type encodePiece func(e *jx.Encoder, text string, last bool)
-
-func (e *Engine) serve(decode func([]byte) (decoder.Prompt, error), encode encodePiece) httprouter.Handle {
-	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxRequest))
-		if err != nil {
-			return
-		}
-		p, err := decode(body)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		id := r.Header.Get(speaker.HeaderRequestID)
-		from, _ := strconv.Atoi(r.Header.Get(speaker.HeaderResumeFrom))
-		e.note("request id=%s from=%d authorization=%t", id, from, r.Header.Get("Authorization") != "")
-		e.mu.Lock()
-		j := job{engine: e, id: id, prompt: p, encode: encode, from: from, total: p.MaxTokens, faults: e.faults}
-		e.mu.Unlock()
-		if j.total == 0 {
-			j.total = defaultTokens
-		}
-		if j.faults.Swap {
-			j.id = "req-of-another"
-		}
-		j.answer(w, r)
-	}
-}
-
-func (j job) answer(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	w.Header().Set(speaker.HeaderRequestID, j.id)
-	if err := j.engine.enter(ctx, j.id, &run{cancel: cancel, prompt: j.prompt.Text, total: j.total}, j.prompt.Tokens()); err != nil {
-		return
-	}
-	defer j.engine.leave(j.id)
-	if j.engine.Clock.Sleep(ctx, j.faults.Delay) != nil || j.engine.prefill(ctx, j.prompt.Tokens()) != nil {
-		return
-	}
-	if j.prompt.Stream {
-		j.stream(ctx, w)
-		return
-	}
-	j.whole(ctx, w)
-}
-
-func (j job) whole(ctx context.Context, w http.ResponseWriter) {
-	text := ""
-	for i := range j.total {
-		if j.engine.step(ctx) != nil {
-			return
-		}
-		text += " " + word(j.prompt.Text, i)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(j.message(func(e *jx.Encoder) { j.encode(e, text, true) }, true))
-}
-
-// stream sends an event for each token, one with the usage, and the end mark.
-func (j job) stream(ctx context.Context, w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	for i := j.from; i < j.total; i++ {
-		if j.engine.step(ctx) != nil {
-			return
-		}
-		if j.faults.CutAfter > 0 && i-j.from >= j.faults.CutAfter {
-			panic(http.ErrAbortHandler)
-		}
-		text := " " + word(j.prompt.Text, i)
-		j.event(w, j.message(func(e *jx.Encoder) { j.encode(e, text, i == j.total-1) }, false))
-		_ = control.Flush()
-	}
-	if j.prompt.IncludeUsage {
-		j.event(w, j.message(nil, true))
-	}
-	j.event(w, []byte("[DONE]"))
-	_ = control.Flush()
-}
-
-func (j job) event(w io.Writer, data []byte) {
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
-}
-
-// message encodes an answer or an event; a nil choice encodes none.
-func (j job) message(choice func(*jx.Encoder), usage bool) []byte {
-	var e jx.Encoder
-	e.Obj(func(e *jx.Encoder) {
-		e.Field("id", func(e *jx.Encoder) { e.Str("chatcmpl-" + j.id) })
-		e.Field("object", func(e *jx.Encoder) { e.Str(j.object()) })
-		e.Field("created", func(e *jx.Encoder) { e.Int(0) })
-		e.Field("model", func(e *jx.Encoder) { e.Str(j.prompt.Model) })
-		e.Field("choices", func(e *jx.Encoder) {
-			e.Arr(func(e *jx.Encoder) {
-				if choice != nil {
-					choice(e)
-				}
-			})
-		})
-		if usage {
-			e.Field("usage", j.usage)
-		}
-	})
-	return e.Bytes()
-}
-
-func (j job) object() string {
-	if j.prompt.Stream {
-		return "chat.completion.chunk"
-	}
-	return "chat.completion"
-}
-
-func (j job) usage(e *jx.Encoder) {
-	e.Obj(func(e *jx.Encoder) {
-		e.Field("prompt_tokens", func(e *jx.Encoder) { e.Int(j.prompt.Tokens()) })
-		e.Field("completion_tokens", func(e *jx.Encoder) { e.Int(j.total) })
-		e.Field("total_tokens", func(e *jx.Encoder) { e.Int(j.prompt.Tokens() + j.total) })
-	})
-}
-
-// encodeChat writes a choice with both the message and the delta, so that one
-// encoding serves plain answers and events.
-func encodeChat(e *jx.Encoder, text string, last bool) {
-	content := func(e *jx.Encoder) {
-		e.Obj(func(e *jx.Encoder) {
-			e.Field("role", func(e *jx.Encoder) { e.Str("assistant") })
-			e.Field("content", func(e *jx.Encoder) { e.Str(text) })
-		})
-	}
-	encodeChoice(e, last, func(e *jx.Encoder) {
-		e.Field("message", content)
-		e.Field("delta", content)
-	})
-}
-
-func encodeText(e *jx.Encoder, text string, last bool) {
-	encodeChoice(e, last, func(e *jx.Encoder) {
-		e.Field("text", func(e *jx.Encoder) { e.Str(text) })
-	})
-}
-
-func encodeChoice(e *jx.Encoder, last bool, content func(*jx.Encoder)) {
-	e.Obj(func(e *jx.Encoder) {
-		e.Field("index", func(e *jx.Encoder) { e.Int(0) })
-		content(e)
-		e.Field("finish_reason", func(e *jx.Encoder) {
-			if last {
-				e.Str("stop")
-				return
-			}
-			e.Null()
-		})
-	})
-}
--- a/internal/lab/servicer/service.go
+++ b/internal/lab/servicer/service.go
@@ -1,11 +1,12 @@
 // Package servicer is a stand-in for a plain service.
 //
 // POST /orders places an order and is not idempotent; GET /stock looks stock
-// up. The service counts each run by the identifier of the request and by the
+// up; POST /echo streams its body back. The service counts each run by the identifier of the request and by the
 // reference in the order, so that a test can see what ran twice.
 package servicer
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -63,6 +64,7 @@
 	r := httprouter.New()
 	r.POST("/orders", s.placeOrder)
 	r.GET("/stock/:item", s.lookUp)
+	r.POST("/echo", s.echo)
 	r.GET("/engine/load", s.load)
 	r.POST("/lab/faults", s.setFaults)
 	r.GET("/lab/record", s.showRecord)
@@ -109,6 +111,38 @@
 	_, _ = io.WriteString(w, text)
 }
 
+const pieceSize = 32 << 10
+
+// echo sends each piece of the body back as it comes, so that a caller can
+// read the answer's beginning before it has sent the body's end.
+func (s *Service) echo(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	id := r.Header.Get("Foxtailflow-Request-Id")
+	s.mu.Lock()
+	s.record = append(s.record, fmt.Sprintf("run id=%s method=%s path=%s authorization=%t", id, r.Method, r.URL.Path, r.Header.Get("Authorization") != ""))
+	s.mu.Unlock()
+	w.Header().Set("Foxtailflow-Request-Id", id)
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+	buf := make([]byte, pieceSize)
+	for {
+		n, err := r.Body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return
+			}
+			_ = control.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 func (s *Service) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	s.mu.Lock()
 	l := speaker.Load{InFlight: s.running, Role: "both", Leaving: s.faults.Leaving}
--- /dev/null
+++ b/internal/lab/servicer/service_test.go
@@ -0,0 +1,40 @@
+package servicer_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/lab/servicer"
+)
+
+// TestEchoStreams guards against a stand-in that answers only once it has the
+// whole body: tests of streams in both directions would then wait for ever.
+func TestEchoStreams(t *testing.T) {
+	is := is.New(t)
+	s := &servicer.Service{Clock: timekeeper.System{}}
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	body, feed := io.Pipe()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/echo", body)
+	is.NoErr(err)
+	resp, err := server.Client().Do(req)
+	is.NoErr(err)
+	defer func() { is.NoErr(resp.Body.Close()) }()
+	for _, piece := range []string{"first", "second"} {
+		_, err := io.WriteString(feed, piece)
+		is.NoErr(err)
+		got := make([]byte, len(piece))
+		_, err = io.ReadFull(resp.Body, got)
+		is.NoErr(err)
+		is.Equal(string(got), piece)
+	}
+	is.NoErr(feed.Close())
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(rest), 0)
+}
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -34,6 +34,7 @@
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":   cmdAwait,
+			"body":    cmdBody,
 			"expand":  cmdExpand,
 			"port":    cmdPort,
 			"request": cmdRequest,
@@ -156,13 +157,18 @@
 }
 
 // cmdRequest sends one request and writes status, header and body to a file:
-// request [-from IP] [-timeout DURATION] FILE METHOD URL [BODY [HEADER: VALUE]...];
+// request [-background] [-from IP] [-timeout DURATION] FILE METHOD URL [BODY [HEADER: VALUE]...];
 // a BODY of @NAME is read from a file of the script. With a leading ! the
-// request must get no whole answer.
+// request must get no whole answer; in the background, whatever comes is kept.
 func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
 	var s sender
+	background := false
 	for len(args) > 2 && strings.HasPrefix(args[0], "-") {
 		switch args[0] {
+		case "-background":
+			background = true
+			args = args[1:]
+			continue
 		case "-from":
 			s.from = args[1]
 		case "-timeout":
@@ -179,6 +185,17 @@
 			args[3] = ts.ReadFile(name)
 		}
 	}
+	if background {
+		done := make(chan struct{})
+		name := ts.MkAbs(args[0])
+		go func() {
+			defer close(done)
+			text, _ := s.send(args[1:])
+			_ = os.WriteFile(name, []byte(text), 0o600)
+		}()
+		ts.Defer(func() { <-done })
+		return
+	}
 	text, err := s.send(args[1:])
 	if (err != nil) != neg {
 		ts.Fatalf("request: error %v, answer %q", err, text)
@@ -186,6 +203,13 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
+// cmdBody writes the body of an answer to a file: body ANSWER FILE.
+func cmdBody(ts *testscript.TestScript, _ bool, args []string) {
+	_, body, _ := strings.Cut(ts.ReadFile(args[0]), "\n\n")
+	body = strings.TrimPrefix(body, "\r\n")
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(body), 0o600))
+}
+
 // cmdAwait repeats a request until the answer contains a text:
 // await DURATION TEXT METHOD URL [BODY [HEADER: VALUE]...].
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
