command: operators' command line and its client

Operators had only the HTTP interface.

New codes: 109 CommandUsage, 110 DecisionUnknown.

Measured: commands.txtar passes against a node process, with the race detector. With one exit code for all: "commands.txtar:14: the exit code is not 3: exit status 1".

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -22,6 +22,8 @@
 	SlowCaller      Code = 106
 	MethodNotServed Code = 107
 	CallerGone      Code = 108
+	CommandUsage    Code = 109
+	DecisionUnknown Code = 110
 
 	KeyMissing         Code = 201
 	KeyUnknown         Code = 202
--- /dev/null
+++ b/internal/command/printer/printer.go
@@ -0,0 +1,84 @@
+// Package printer prints results for operators.
+//
+// Each result has two forms: text for people, in columns, and one JSON object
+// for scripts. Decision lines are printed as text that says what was chosen,
+// what was rejected and why.
+package printer
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// Printer prints results in one form.
+type Printer struct {
+	Out io.Writer
+	// JSON selects the form for scripts.
+	JSON bool
+}
+
+// Result is a result in both forms.
+type Result struct {
+	// Encode writes the fields of the JSON object.
+	Encode func(e *jx.Encoder)
+	// Rows are printed in columns; the first is the heading if there are more.
+	Rows [][]string
+	// Text is printed instead where there are no rows.
+	Text string
+}
+
+// Print prints a result.
+func (p Printer) Print(r Result) error {
+	if p.JSON {
+		var e jx.Encoder
+		e.Obj(r.Encode)
+		_, err := fmt.Fprintln(p.Out, e.String())
+		return err
+	}
+	if len(r.Rows) == 0 {
+		_, err := fmt.Fprintln(p.Out, r.Text)
+		return err
+	}
+	w := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
+	for _, row := range r.Rows {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// Fail prints why a command failed, each joined error on a line of its own.
+func (p Printer) Fail(err error) {
+	for _, f := range Faults(err) {
+		if p.JSON {
+			var e jx.Encoder
+			e.Obj(func(e *jx.Encoder) { EncodeFault(e, f) })
+			_, _ = fmt.Fprintln(p.Out, e.String())
+			continue
+		}
+		_, _ = fmt.Fprintf(p.Out, "foxtailflow: %v\n", f)
+	}
+}
+
+// Faults returns the errors that were joined into err.
+func Faults(err error) []error {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
+// EncodeFault writes the fields of one error.
+func EncodeFault(e *jx.Encoder, err error) {
+	f := coder.Of(err)
+	e.Field("code", func(e *jx.Encoder) { e.Int(int(f.Code())) })
+	e.Field("outcome", func(e *jx.Encoder) { e.Str(f.Outcome().String()) })
+	e.Field("message", func(e *jx.Encoder) { e.Str(f.Message()) })
+}
--- /dev/null
+++ b/internal/command/starter/fleet.go
@@ -0,0 +1,242 @@
+package starter
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/jx"
+	"github.com/spf13/cobra"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/command/printer"
+	"foxtailflow.example/foxtailflow/internal/operator/requester"
+)
+
+func keyCommand(o *operator) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "key",
+		Short:   "Create and withdraw the keys of client accounts",
+		Example: "  foxtailflow key create baden\n  foxtailflow key withdraw key-0f12",
+	}
+	o.reach(cmd)
+	cmd.AddCommand(&cobra.Command{
+		Use:     "create ACCOUNT",
+		Short:   "Create a key for a client account and print its secret",
+		Long:    "Create a key for a client account. The secret is printed once and is kept\nnowhere. The key works on all nodes once the command has returned.\n\n" + exitCodes,
+		Example: "  foxtailflow key create baden",
+		Args:    cobra.ExactArgs(1),
+		RunE: o.asking(func(cmd *cobra.Command, c requester.Client, args []string) (*printer.Result, error) {
+			k, err := c.CreateKey(cmd.Context(), args[0])
+			if err != nil {
+				return nil, err
+			}
+			if !k.Change.InForce {
+				err = notInForce(k.Change)
+			}
+			return keyResult(k), err
+		}),
+	}, &cobra.Command{
+		Use:     "withdraw ID",
+		Short:   "Withdraw a key",
+		Long:    "Withdraw a key by its identifier. No node accepts it once the command has\nreturned; requests that were sent to an endpoint before finish.\n\n" + exitCodes,
+		Example: "  foxtailflow key withdraw key-0f12",
+		Args:    cobra.ExactArgs(1),
+		RunE: o.asking(func(cmd *cobra.Command, c requester.Client, args []string) (*printer.Result, error) {
+			change, err := c.WithdrawKey(cmd.Context(), args[0])
+			return changeResult(change, "key "+args[0]+" is withdrawn", err)
+		}),
+	})
+	return cmd
+}
+
+func keyResult(k requester.Key) *printer.Result {
+	return &printer.Result{
+		Rows: [][]string{{"id", k.ID}, {"client-account", k.Account}, {"file", k.File}, {"secret", k.Secret}},
+		Encode: func(e *jx.Encoder) {
+			e.Field("id", func(e *jx.Encoder) { e.Str(k.ID) })
+			e.Field("client-account", func(e *jx.Encoder) { e.Str(k.Account) })
+			e.Field("file", func(e *jx.Encoder) { e.Str(k.File) })
+			e.Field("secret", func(e *jx.Encoder) { e.Str(k.Secret) })
+			encodeChange(e, k.Change)
+		},
+	}
+}
+
+func statusCommand(o *operator) *cobra.Command {
+	var forget string
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the nodes as one node knows them",
+		Long: "Show the nodes as the asked node knows them: their configuration version, and\n" +
+			"whether they are live, members of the roster, and fresh enough to answer for keys.\n" +
+			"--forget takes a node out of the roster; use it only if its process is known not\n" +
+			"to run any more and a majority of the roster was lost at once.\n\n" + exitCodes,
+		Example: "  foxtailflow status\n  foxtailflow status --forget node-3",
+		Args:    cobra.NoArgs,
+		RunE: o.asking(func(cmd *cobra.Command, c requester.Client, _ []string) (*printer.Result, error) {
+			if forget != "" {
+				r, err := c.Forget(cmd.Context(), forget)
+				return rosterResult(r, forget), err
+			}
+			s, err := c.Status(cmd.Context())
+			if err != nil {
+				return nil, err
+			}
+			return statusResult(s), nil
+		}),
+	}
+	o.reach(cmd)
+	cmd.Flags().StringVar(&forget, "forget", "", "node to take out of the roster")
+	return cmd
+}
+
+func rosterResult(r requester.Roster, id string) *printer.Result {
+	if r.Version == 0 {
+		return nil
+	}
+	return &printer.Result{
+		Text: fmt.Sprintf("node %s is out of the roster, which has version %d: %s", id, r.Version, strings.Join(r.Members, ", ")),
+		Encode: func(e *jx.Encoder) {
+			e.Field("roster", func(e *jx.Encoder) { e.UInt64(r.Version) })
+			e.Field("members", func(e *jx.Encoder) { encodeTexts(e, r.Members) })
+		},
+	}
+}
+
+func statusResult(s requester.Status) *printer.Result {
+	rows := [][]string{{"NODE", "DATA-CENTRE", "VERSION", "STATE", "FRESHNESS", "STORE", "OPERATORS"}}
+	for _, n := range s.Nodes {
+		freshness := "never"
+		if n.FreshnessAgeMs >= 0 {
+			freshness = fmt.Sprintf("%d ms ago", n.FreshnessAgeMs)
+		}
+		store := "unreachable"
+		if n.StoreReachable {
+			store = "reachable"
+		}
+		rows = append(rows, []string{
+			n.ID, n.DataCentre, strconv.FormatUint(n.Version, 10), nodeState(n), freshness, store, n.OperatorsAddress,
+		})
+	}
+	return &printer.Result{Rows: rows, Encode: func(e *jx.Encoder) { encodeStatus(e, s) }}
+}
+
+func nodeState(n requester.Node) string {
+	state := []string{"lost"}
+	if n.Live {
+		state[0] = "live"
+	}
+	if n.Draining {
+		state = append(state, "draining")
+	}
+	if !n.Fresh {
+		state = append(state, "not fresh")
+	}
+	if !n.Member {
+		state = append(state, "not in the roster")
+	}
+	return strings.Join(state, ", ")
+}
+
+func encodeStatus(e *jx.Encoder, s requester.Status) {
+	e.Field("node", func(e *jx.Encoder) { e.Str(s.Node) })
+	e.Field("version", func(e *jx.Encoder) { e.UInt64(s.Version) })
+	e.Field("roster", func(e *jx.Encoder) {
+		e.Obj(func(e *jx.Encoder) {
+			e.Field("version", func(e *jx.Encoder) { e.UInt64(s.Roster.Version) })
+			e.Field("members", func(e *jx.Encoder) { encodeTexts(e, s.Roster.Members) })
+		})
+	})
+	e.Field("nodes", func(e *jx.Encoder) {
+		e.Arr(func(e *jx.Encoder) {
+			for _, n := range s.Nodes {
+				e.Obj(func(e *jx.Encoder) { encodeNode(e, n) })
+			}
+		})
+	})
+	e.Field("duties", func(e *jx.Encoder) { encodeTexts(e, s.Duties) })
+}
+
+func encodeNode(e *jx.Encoder, n requester.Node) {
+	e.Field("id", func(e *jx.Encoder) { e.Str(n.ID) })
+	e.Field("peers-address", func(e *jx.Encoder) { e.Str(n.PeersAddress) })
+	e.Field("operators-address", func(e *jx.Encoder) { e.Str(n.OperatorsAddress) })
+	e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
+	e.Field("version", func(e *jx.Encoder) { e.UInt64(n.Version) })
+	e.Field("live", func(e *jx.Encoder) { e.Bool(n.Live) })
+	e.Field("member", func(e *jx.Encoder) { e.Bool(n.Member) })
+	e.Field("fresh", func(e *jx.Encoder) { e.Bool(n.Fresh) })
+	e.Field("freshness-age-ms", func(e *jx.Encoder) { e.Int(n.FreshnessAgeMs) })
+	e.Field("draining", func(e *jx.Encoder) { e.Bool(n.Draining) })
+	e.Field("store-reachable", func(e *jx.Encoder) { e.Bool(n.StoreReachable) })
+	e.Field("stated-age-ms", func(e *jx.Encoder) { e.Int(n.StatedAgeMs) })
+}
+
+func explainCommand(o *operator) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [LOG]...",
+		Short: "Tell the decisions on a request from the logs of nodes",
+		Long: "Tell the decisions on a request, or those on a deployment, from the logs of nodes:\n" +
+			"what was chosen, what was rejected, and why. Without a log file the command reads\n" +
+			"standard input. The identifier is in the header Foxtailflow-Request-Id of the answer.\n\n" + exitCodes,
+		Example: "  foxtailflow explain req-0f12 node-1.log node-2.log\n  foxtailflow explain wichse-llm < node-1.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := o.printer(cmd)
+			if err != nil {
+				return err
+			}
+			found, err := readLogs(cmd.InOrStdin(), args[0], args[1:])
+			if err != nil {
+				return err
+			}
+			if len(found) == 0 {
+				return coder.Refuse(coder.DecisionUnknown, "the logs have no decision on %s", args[0])
+			}
+			return p.Print(explainResult(args[0], found))
+		},
+	}
+}
+
+func readLogs(stdin io.Reader, id string, paths []string) ([]printer.Decision, error) {
+	if len(paths) == 0 {
+		return printer.ReadDecisions(stdin, id)
+	}
+	var all []printer.Decision
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, coder.Refuse(coder.CommandUsage, "the log cannot be read").WithCause(err)
+		}
+		found, err := printer.ReadDecisions(f, id)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, found...)
+	}
+	return all, nil
+}
+
+func explainResult(id string, found []printer.Decision) printer.Result {
+	lines := make([]string, 0, len(found))
+	for _, d := range found {
+		lines = append(lines, d.String())
+	}
+	return printer.Result{
+		Text: strings.Join(lines, "\n"),
+		Encode: func(e *jx.Encoder) {
+			e.Field("id", func(e *jx.Encoder) { e.Str(id) })
+			e.Field("decisions", func(e *jx.Encoder) {
+				e.Arr(func(e *jx.Encoder) {
+					for _, d := range found {
+						e.Raw(jx.Raw(d.Raw()))
+					}
+				})
+			})
+		},
+	}
+}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -1,11 +1,14 @@
 // Package starter is the command line of the production program.
 //
 // It runs a node, and it has the commands by which operators drive the system.
+// Every command ends with an exit code that tells scripts what kind of result
+// it was: 0 for success, else the hundreds of the numbered result code.
 package starter
 
 import (
 	"context"
-	"fmt"
+	"errors"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,29 +18,70 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/command/printer"
 	"foxtailflow.example/foxtailflow/internal/node/assembler"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
 )
 
+const exitCodes = `Exit codes:
+  0  success
+  1  bad input or command line (results 1xx)
+  2  authentication (2xx)
+  3  configuration: faults, a lost race, or stored and not yet in force (3xx)
+  4  limits and capacity (4xx)
+  5  endpoints (5xx)
+  6  platform (6xx)
+  7  authority (7xx)
+  8  idempotency (8xx)
+  9  settings, a node that does not answer, internal errors (9xx)`
+
+// codesInHundred is the size of each group of result codes.
+const codesInHundred = 100
+
 // Main runs the command line and returns the exit code.
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := rootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "foxtailflow:", err)
-		return 1
+	return run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	o := &operator{}
+	root := rootCommand(o)
+	root.SetArgs(args)
+	root.SetIn(stdin)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	err = numbered(err)
+	printer.Printer{Out: stderr, JSON: o.json()}.Fail(err)
+	return int(coder.Of(err).Code()) / codesInHundred
+}
+
+// numbered returns err with a result code; what the commands do not number
+// comes from reading the command line.
+func numbered(err error) error {
+	var f coder.Error
+	if errors.As(err, &f) {
+		return err
 	}
-	return 0
+	return coder.Refuse(coder.CommandUsage, "%v", err)
 }
 
-func rootCommand() *cobra.Command {
+func rootCommand(o *operator) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "foxtailflow",
 		Short:         "Serve model engines and plain services from a limited fleet",
+		Long:          "Serve model engines and plain services from a limited fleet.\n\n" + exitCodes,
+		Example:       "  foxtailflow node --settings node.ini\n  foxtailflow status --node 10.0.0.1:7002 --credential-file operator.key",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(nodeCommand())
+	root.PersistentFlags().StringVar(&o.output, "output", outputText, "form of the output: text or json")
+	root.AddCommand(nodeCommand(), configCommand(o), keyCommand(o), statusCommand(o), explainCommand(o))
 	return root
 }
 
@@ -46,6 +90,7 @@
 	cmd := &cobra.Command{
 		Use:     "node",
 		Short:   "Run a node",
+		Long:    "Run a node until SIGTERM or SIGINT, which stop it gracefully: it reports that\nit is not ready, finishes what runs, and ends.\n\n" + exitCodes,
 		Example: "  foxtailflow node --settings node.ini",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/lab/servicer/service.go
+++ b/internal/lab/servicer/service.go
@@ -1,8 +1,9 @@
 // Package servicer is a stand-in for a plain service.
 //
 // POST /orders places an order and is not idempotent; GET /stock looks stock
-// up; POST /echo streams its body back. The service counts each run by the identifier of the request and by the
-// reference in the order, so that a test can see what ran twice.
+// up; POST /echo streams its body back. The service counts each run by the
+// identifier of the request and by the reference in the order, so that a test
+// can see what ran twice.
 package servicer
 
 import (
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +37,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":   cmdAwait,
 			"body":    cmdBody,
+			"exits":   cmdExits,
 			"expand":  cmdExpand,
 			"port":    cmdPort,
 			"request": cmdRequest,
@@ -42,6 +45,8 @@
 			"start":   cmdStart,
 		},
 		Setup: func(env *testscript.Env) error {
+			// The race detector otherwise waits a second at the end of each program.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
 			env.Values[processesKey{}] = &processes{byName: make(map[string]*process)}
 			return nil
 		},
@@ -97,6 +102,18 @@
 	}
 }
 
+// cmdExits runs a program that must end with the given exit code, and keeps its
+// output for stdout and stderr: exits CODE PROGRAM ARGS...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != want {
+		ts.Fatalf("the exit code is not %d: %v", want, err)
+	}
+}
+
 // cmdStart starts a program under a name: start NAME PROGRAM ARGS...
 //
 // Its output goes to the file NAME.log when the script ends.
--- /dev/null
+++ b/internal/operator/requester/client.go
@@ -0,0 +1,176 @@
+// Package requester is the client of the operators' HTTP interface.
+//
+// Any node takes any call. A call is sent once: after a lost answer, only the
+// operator can decide whether to repeat a change, and the version at which the
+// file was last seen keeps a repeat from undoing the work of others. A refusal
+// comes back as the numbered error that the node sent.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// Client reaches the operators' interface of one node.
+type Client struct {
+	// Node is IP:port, or the base address http://IP:port.
+	Node string
+	// Credential is the operators' credential.
+	Credential string
+	// Transport carries the calls; nil means http.DefaultTransport.
+	Transport http.RoundTripper
+	// Timeout bounds one call; 0 means 20 s, more than a change takes to be in
+	// force everywhere.
+	Timeout time.Duration
+}
+
+const (
+	defaultTimeout = 20 * time.Second
+	// maxAnswer bounds what is read of one answer, in bytes.
+	maxAnswer = 64 << 20
+)
+
+// Files returns the names of the configuration files.
+func (c Client) Files(ctx context.Context) (Files, error) {
+	data, err := c.call(ctx, http.MethodGet, "/files", nil, nil)
+	if err != nil {
+		return Files{}, err
+	}
+	return decodeFiles(data)
+}
+
+// File returns the content of a configuration file.
+func (c Client) File(ctx context.Context, name string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, "/files/"+url.PathEscape(name), nil, nil)
+}
+
+// Put sets a configuration file that was last seen at a version, 0 for a new
+// file.
+//
+// ConfigConflict: the file was changed since. ConfigOutcomeUnsure: the change
+// may have been accepted.
+func (c Client) Put(ctx context.Context, name string, data []byte, seen uint64) (Change, error) {
+	return c.change(ctx, http.MethodPut, "/files/"+url.PathEscape(name), seenAt(seen), data)
+}
+
+// Remove removes a configuration file that was last seen at a version.
+func (c Client) Remove(ctx context.Context, name string, seen uint64) (Change, error) {
+	return c.change(ctx, http.MethodDelete, "/files/"+url.PathEscape(name), seenAt(seen), nil)
+}
+
+// CreateKey makes a key for a client account; its secret is in the answer only.
+func (c Client) CreateKey(ctx context.Context, account string) (Key, error) {
+	data, err := c.call(ctx, http.MethodPost, "/keys", nil, encodeAccount(account))
+	if err != nil {
+		return Key{}, err
+	}
+	return decodeKey(data)
+}
+
+// WithdrawKey withdraws a key by its identifier.
+func (c Client) WithdrawKey(ctx context.Context, id string) (Change, error) {
+	return c.change(ctx, http.MethodDelete, "/keys/"+url.PathEscape(id), nil, nil)
+}
+
+// Status returns the nodes as the asked node knows them.
+func (c Client) Status(ctx context.Context) (Status, error) {
+	data, err := c.call(ctx, http.MethodGet, "/status", nil, nil)
+	if err != nil {
+		return Status{}, err
+	}
+	return decodeStatus(data)
+}
+
+// Forget takes a node out of the roster, on the word of the operator that its
+// process does not run any more.
+func (c Client) Forget(ctx context.Context, id string) (Roster, error) {
+	data, err := c.call(ctx, http.MethodDelete, "/nodes/"+url.PathEscape(id), nil, nil)
+	if err != nil {
+		return Roster{}, err
+	}
+	return decodeRoster(data)
+}
+
+func (c Client) change(ctx context.Context, method, path string, q url.Values, body []byte) (Change, error) {
+	data, err := c.call(ctx, method, path, q, body)
+	if err != nil {
+		return Change{}, err
+	}
+	return decodeChange(data)
+}
+
+func seenAt(version uint64) url.Values {
+	return url.Values{"seen": {strconv.FormatUint(version, 10)}}
+}
+
+// Merged returns each value in force and the file that it came from.
+func (c Client) Merged(ctx context.Context) (Merged, error) {
+	data, err := c.call(ctx, http.MethodGet, "/merged", nil, nil)
+	if err != nil {
+		return Merged{}, err
+	}
+	return decodeMerged(data)
+}
+
+func (c Client) call(ctx context.Context, method, path string, q url.Values, body []byte) ([]byte, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := c.base() + path
+	if len(q) > 0 {
+		target += "?" + q.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, coder.Refuse(coder.NodeNotReached, "%q is not the address of a node", c.Node).WithCause(err)
+	}
+	// Without GetBody the transport repeats no call on its own.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+c.Credential)
+	transport := c.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, c.lost(method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, c.lost(method, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, decodeRefusal(resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+func (c Client) base() string {
+	if strings.Contains(c.Node, "://") {
+		return strings.TrimSuffix(c.Node, "/")
+	}
+	return "http://" + c.Node
+}
+
+// lost names the failure of a call without an answer.
+func (c Client) lost(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return coder.Refuse(coder.NodeNotReached, "node %s does not answer", c.Node).WithCause(err)
+	}
+	return coder.Wrap(coder.ConfigOutcomeUnsure, err, "node %s did not answer; the change may have been accepted", c.Node)
+}
