--- a/internal/lab/generator/answer.go
+++ b/internal/lab/generator/answer.go
@@ -57,9 +57,6 @@
 		if j.total == 0 {
 			j.total = defaultTokens
 		}
-		if j.faults.Swap {
-			j.id = "req-of-another"
-		}
 		j.answer(w, r)
 	}
 }
@@ -67,10 +64,10 @@
 // resume continues a stream that this engine began.
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 	id := ps.ByName("id")
-	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	k, ok := e.resumable(id)
-	e.note("resume id=%s from=%d known=%t", id, from, ok)
-	if !ok {
+	e.note("resume id=%s from=%d found=%t", id, from, ok)
+	if err != nil || !ok {
 		http.Error(w, "there is no such stream", http.StatusNotFound)
 		return
 	}
@@ -84,8 +81,14 @@
 	j.answer(w, r)
 }
 
+// swapped stands in the place of a request's identifier by a fault.
+const swapped = "req-of-another"
+
 func (j job) answer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(speaker.HeaderRequestID, j.id)
+	if j.faults.Swap {
+		w.Header().Set(speaker.HeaderRequestID, swapped)
+	}
 	ctx, end, err := j.engine.begin(r.Context(), j)
 	if err != nil {
 		// Nothing was begun: a change came first, or the request was cancelled.
@@ -136,12 +139,15 @@
 		text += " " + word(j.prompt.Text, i)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(j.message(func(e *jx.Encoder) { j.encode(e, text, true) }, true))
+	_, _ = w.Write(j.message(0, func(e *jx.Encoder) { j.encode(e, text, true) }, true))
 }
 
 // stream sends an event for each token, one with the usage, and the end mark.
 func (j job) stream(ctx context.Context, w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if j.from > 0 {
+		w.Header().Set(speaker.HeaderResumeFrom, strconv.Itoa(j.from))
+	}
 	control := http.NewResponseController(w)
 	for i := j.from; i < j.total; i++ {
 		if j.engine.step(ctx) != nil {
@@ -151,11 +157,12 @@
 			panic(http.ErrAbortHandler)
 		}
 		text := " " + word(j.prompt.Text, i)
-		j.event(w, j.message(func(e *jx.Encoder) { j.encode(e, text, i == j.total-1) }, false))
+		j.event(w, j.message(i, func(e *jx.Encoder) { j.encode(e, text, i == j.total-1) }, false))
 		_ = control.Flush()
 	}
-	if j.prompt.IncludeUsage {
-		j.event(w, j.message(nil, true))
+	// A stream resumed after the usage event has only the end mark left.
+	if j.prompt.IncludeUsage && j.from <= j.total {
+		j.event(w, j.message(j.total, nil, true))
 	}
 	j.event(w, []byte("[DONE]"))
 	_ = control.Flush()
@@ -165,11 +172,16 @@
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 }
 
-// message encodes an answer or an event; a nil choice encodes none.
-func (j job) message(choice func(*jx.Encoder), usage bool) []byte {
+// message encodes an answer or the event at a position; a nil choice encodes
+// none.
+func (j job) message(position int, choice func(*jx.Encoder), usage bool) []byte {
+	id := j.id
+	if j.faults.Swap || j.faults.SwapAfter > 0 && position >= j.faults.SwapAfter {
+		id = swapped
+	}
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("id", func(e *jx.Encoder) { e.Str("chatcmpl-" + j.id) })
+		e.Field("id", func(e *jx.Encoder) { e.Str("chatcmpl-" + id) })
 		e.Field("object", func(e *jx.Encoder) { e.Str(j.object()) })
 		e.Field("created", func(e *jx.Encoder) { e.Int(0) })
 		e.Field("model", func(e *jx.Encoder) { e.Str(j.prompt.Model) })
--- a/internal/lab/generator/engine.go
+++ b/internal/lab/generator/engine.go
@@ -83,6 +83,9 @@
 	Delay time.Duration
 	// Swap answers with the identifier of another request.
 	Swap bool
+	// SwapAfter gives each event after this many the identifier of another
+	// request; 0 means never.
+	SwapAfter int
 }
 
 // run is a request that the engine has.
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -234,7 +234,7 @@
 	ts.Check(err)
 	text := ""
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if text, err = (sender{}).send(args[2:]); err == nil && strings.Contains(text, args[1]) {
+		if text, err = send(args[2:]); err == nil && strings.Contains(text, args[1]) {
 			return
 		}
 	}
@@ -249,6 +249,8 @@
 	timeout time.Duration
 }
 
+func send(args []string) (string, error) { return sender{}.send(args) }
+
 func (s sender) client() http.Client {
 	if s.timeout == 0 {
 		s.timeout = 20 * time.Second
