picker: candidates drawn from a prepared set, cache affinity with bounded load

Cause: a choice passed over all endpoints and copied them, load reports are late, and nothing used the engines' prefix caches. Change: the observer keeps a set of candidates for each deployment, rebuilt when an endpoint comes, goes or changes its role or fitness, and sums that follow each row. A late report is corrected by what this node had in progress when it was made. At most a third of a deployment is ejected at once and one trial request lets an endpoint back in. The explainer logs all four kinds of decision and reads them back.

--- /dev/null
+++ b/internal/decision/explainer/explainer_test.go
@@ -0,0 +1,64 @@
+package explainer_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/balancer"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
+	"foxtailflow.example/foxtailflow/internal/decision/forecaster"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/decision/planner"
+)
+
+// writeAll logs one decision of each kind.
+func writeAll(log zerolog.Logger) {
+	explainer.LogRouting(log, "req-1", "baden", "wichse-llm", picker.Choice{
+		OK: true, Endpoint: picker.Endpoint{ID: "engine-1"}, Reason: "less loaded of two",
+		Rejected: []picker.Rejected{{Endpoint: "engine-2", Reason: picker.ReasonTried}},
+		Out:      []picker.Rejected{{Endpoint: "engine:3", Reason: picker.ReasonLeaving}},
+	})
+	explainer.LogRouting(log, "req-1", "baden", "wichse-llm", picker.Choice{})
+	explainer.LogRefusal(log, "req-2", "baden", "wichse-llm",
+		coder.Refuse(coder.WouldMissTime, "the queue is longer than the deadline").WithRetryAfter(1500*time.Millisecond))
+	explainer.LogRoles(log, "wichse-llm", balancer.Decision{
+		Reason: "gain-above-price", Gain: 8.91, Price: 1, Demand: forecaster.Demand{Prefill: 500, Decode: 4500},
+		Orders:   []balancer.Order{{Engine: "engine-1", From: picker.Prefill, To: picker.Decode}},
+		Rejected: []balancer.Rejected{{Engine: "engine-2", Reason: balancer.ReasonMoreBusy}},
+	})
+	explainer.LogFleet(log, "wichse-llm", planner.Decision{
+		Reason: "demand-above-fleet", Survives: 12, Cost: 5400,
+		Targets:  []planner.Target{{DataCentre: "dc-1", Tier: "spot", Count: 6}},
+		Orders:   []planner.Order{{DataCentre: "dc-1", Tier: "spot", Add: 6}, {DataCentre: "dc-2", Tier: "spot", Withdraw: []string{"vm-7"}}},
+		Rejected: []planner.Rejected{{Name: "dc-3/spot", Reason: planner.ReasonBlocked}},
+	})
+}
+
+// TestScripts guards against decisions that cannot be traced: each kind of line
+// must be found by its request or deployment and read back whole.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(_ *testing.T, td *datadriven.TestData) string {
+			var log, out bytes.Buffer
+			log.WriteString(td.Input + "\n")
+			writeAll(zerolog.New(&log).With().Str("node", "node-1").Logger())
+			if td.HasArg("raw") {
+				return strings.TrimPrefix(log.String(), "\n")
+			}
+			if td.HasArg("long-line") {
+				log.WriteString(`{"x":"` + strings.Repeat("x", 2<<20) + "\"}\n")
+				writeAll(zerolog.New(&log))
+			}
+			if err := explainer.Explain(&out, &log, td.CmdArgs[0].Key); err != nil {
+				return err.Error() + "\n"
+			}
+			return out.String()
+		})
+	})
+}
--- /dev/null
+++ b/internal/decision/explainer/reader.go
@@ -0,0 +1,176 @@
+package explainer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// Line is one decision as it was logged.
+type Line struct {
+	Time       string
+	Node       string
+	Decision   string
+	Request    string
+	Account    string
+	Deployment string
+	Chosen     string
+	Reason     string
+	Code       int
+	RetryAfter string
+	Orders     []string
+	Rejected   []string
+	Figures    []string
+}
+
+// maxLine bounds one line of a log; longer ones are skipped.
+const maxLine = 1 << 20
+
+// Explain writes to w a readable account of the decisions on a request or a
+// deployment, in the order of the lines of r.
+//
+// Lines that are no decisions are skipped. It fails with RowUnknown if there is
+// none on the identifier.
+func Explain(w io.Writer, r io.Reader, identifier string) error {
+	in := bufio.NewReaderSize(r, maxLine)
+	n := 0
+	for {
+		data, err := in.ReadSlice('\n')
+		tooLong := errors.Is(err, bufio.ErrBufferFull)
+		if l, ok := decode(data); ok && !tooLong && l.about(identifier) {
+			n++
+			if _, err := io.WriteString(w, l.Text()); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if n == 0 {
+				return coder.Refuse(coder.RowUnknown, "no decision on %s was found", identifier)
+			}
+			return nil
+		case err != nil && !tooLong:
+			return err
+		}
+	}
+}
+
+// about reports whether the line is on a request; for a deployment only the
+// decisions on its roles and fleet count, as its requests are too many.
+func (l Line) about(identifier string) bool {
+	if l.Decision == Roles || l.Decision == Fleet {
+		return l.Deployment == identifier
+	}
+	return l.Request == identifier
+}
+
+// Text returns the decision in words.
+func (l Line) Text() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "%s", l.Decision)
+	if l.Time != "" {
+		_, _ = fmt.Fprintf(&b, " at %s", l.Time)
+	}
+	if l.Node != "" {
+		_, _ = fmt.Fprintf(&b, " by %s", l.Node)
+	}
+	_, _ = fmt.Fprintf(&b, ", deployment %s", l.Deployment)
+	if l.Account != "" {
+		_, _ = fmt.Fprintf(&b, ", client account %s", l.Account)
+	}
+	b.WriteString("\n")
+	switch {
+	case l.Decision == Admission:
+		_, _ = fmt.Fprintf(&b, "  refused, not run, code %d: %s; retry after %s\n", l.Code, l.Reason, l.RetryAfter)
+	case l.Decision == Routing && l.Chosen == "":
+		_, _ = fmt.Fprintf(&b, "  no endpoint chosen: %s\n", l.Reason)
+	case l.Decision == Routing:
+		_, _ = fmt.Fprintf(&b, "  chose %s: %s\n", l.Chosen, l.Reason)
+	case len(l.Orders) == 0:
+		_, _ = fmt.Fprintf(&b, "  no order: %s\n", l.Reason)
+	default:
+		_, _ = fmt.Fprintf(&b, "  ordered %s: %s\n", strings.Join(l.Orders, ", "), l.Reason)
+	}
+	for _, r := range l.Rejected {
+		name, reason := r, ""
+		if i := strings.LastIndexByte(r, ':'); i >= 0 {
+			name, reason = r[:i], r[i+1:]
+		}
+		_, _ = fmt.Fprintf(&b, "  rejected %s: %s\n", name, reason)
+	}
+	if len(l.Figures) > 0 {
+		_, _ = fmt.Fprintf(&b, "  figures %s\n", strings.Join(l.Figures, ", "))
+	}
+	return b.String()
+}
+
+// decode reads a log line; false means that it is no decision.
+func decode(data []byte) (l Line, ok bool) {
+	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		texts := map[string]*string{
+			"time": &l.Time, "node": &l.Node, FieldDecision: &l.Decision, FieldRequest: &l.Request,
+			FieldAccount: &l.Account, FieldDeployment: &l.Deployment, FieldChosen: &l.Chosen,
+			FieldReason: &l.Reason, FieldRetry: &l.RetryAfter,
+		}
+		if text, ok := texts[name]; ok && d.Next() == jx.String {
+			*text, err = d.Str()
+			return err
+		}
+		switch name {
+		case FieldCode:
+			if d.Next() != jx.Number {
+				return d.Skip()
+			}
+			l.Code, err = d.Int()
+		case FieldOrders:
+			l.Orders, err = list(d)
+		case FieldRejected:
+			l.Rejected, err = list(d)
+		case FieldFigures:
+			l.Figures, err = figures(d)
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	known := []string{Routing, Admission, Roles, Fleet}
+	return l, err == nil && slices.Contains(known, l.Decision)
+}
+
+func list(d *jx.Decoder) (items []string, err error) {
+	if d.Next() != jx.Array {
+		return nil, d.Skip()
+	}
+	err = d.Arr(func(d *jx.Decoder) error {
+		s, err := d.Str()
+		items = append(items, s)
+		return err
+	})
+	return items, err
+}
+
+func figures(d *jx.Decoder) (items []string, err error) {
+	if d.Next() != jx.Object {
+		return nil, d.Skip()
+	}
+	err = d.Obj(func(d *jx.Decoder, name string) error {
+		n, err := d.Num()
+		items = append(items, name+" "+n.String())
+		return err
+	})
+	return items, err
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// round keeps one decimal, enough for a reader.
+func round(f float64) float64 { return math.Round(f*10) / 10 }
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -1,9 +1,3 @@
-// Package picker chooses the endpoint for a request.
-//
-// A choice is made from values only: what is known of each endpoint, and what
-// the request needs. Load reports lag, so the choice adds what this node has
-// sent since the report. A Policy decides between endpoints that are fit; the
-// Picker rules out those that are not, and says why.
 package picker
 
 import (
@@ -22,10 +16,18 @@
 	Decode  Role = "decode"
 )
 
+// Serves reports whether an endpoint of this role does work of a phase; the
+// phase Both is done by all, and an endpoint that has not reported does all.
+func (r Role) Serves(phase Role) bool {
+	return r == phase || r == Both || r == "" || phase == Both || phase == ""
+}
+
 // Report is an endpoint's own account of its load.
 type Report struct {
 	// At is when this node received the report; the zero time means never.
 	At time.Time
+	// Lag is the age that the report had when it was received.
+	Lag time.Duration
 	// InFlight is the number of requests in work, Queued of those waiting.
 	InFlight int
 	Queued   int
@@ -40,6 +42,17 @@
 	Changing bool
 }
 
+// sample is what this node had in progress at an endpoint at one time.
+type sample struct {
+	at   time.Time
+	sent int
+	work int
+}
+
+// samples is how many past samples an endpoint keeps; together they reach back
+// at least as far as the lag of a report.
+const samples = 5
+
 // Endpoint is what a node knows of one endpoint.
 //
 // It is an immutable value; the With methods return changed copies.
@@ -49,30 +62,58 @@
 	DataCentre string
 	Deployment string
 	Tier       transactor.Tier
+	// Listed is when the platform's list that names the endpoint was made.
+	Listed time.Time
 	// Leaving says that the platform's list marks the VM as leaving, or that
 	// the list no longer has it.
 	Leaving bool
 	// Draining says that the placement has ordered a drain.
 	Draining bool
-	Report   Report
+	// Unconfirmed says that neither the list nor a report is recent.
+	Unconfirmed bool
+	Report      Report
 	// Sent is the number of requests of this node in progress.
 	Sent int
 	// SentWork is the work of those requests, in tokens.
 	SentWork int
-	// SentSince is the number of requests sent after the report arrived.
-	SentSince int
+	// base is what was in progress when the report was made.
+	base sample
+	past [samples]sample
 	// Failures counts failures in a row.
 	Failures int
-	// EjectedUntil is when an endpoint that failed may be tried again.
+	// EjectedUntil is when an endpoint that failed may be tried again; the zero
+	// time means that it is not ejected.
 	EjectedUntil time.Time
-	// Probing says that one trial request is in progress after an ejection.
-	Probing bool
+	// ProbeUntil is when the one trial request after an ejection is given up.
+	ProbeUntil time.Time
 }
 
 // WithReport returns a copy with a new report.
+//
+// A report that lags describes the past; what this node had in progress then
+// is the base by which the report is corrected.
 func (e Endpoint) WithReport(r Report) Endpoint {
+	then := r.At.Add(-r.Lag)
+	now := sample{at: r.At, sent: e.Sent, work: e.SentWork}
+	e.base = sample{}
+	if r.Lag == 0 {
+		e.base = now
+	}
+	for _, p := range e.past {
+		if !p.at.IsZero() && !p.at.After(then) && !p.at.Before(e.base.at) {
+			e.base = p
+		}
+	}
+	newest := 0
+	for i, p := range e.past {
+		if p.at.After(e.past[newest].at) {
+			newest = i
+		}
+	}
+	if r.At.Sub(e.past[newest].at) >= r.Lag/(samples-1) {
+		e.past[(newest+1)%samples] = now
+	}
 	e.Report = r
-	e.SentSince = 0
 	return e
 }
 
@@ -80,7 +121,6 @@
 func (e Endpoint) WithSent(work int) Endpoint {
 	e.Sent++
 	e.SentWork += work
-	e.SentSince++
 	return e
 }
 
@@ -95,7 +135,7 @@
 func (e Endpoint) WithSuccess() Endpoint {
 	e.Failures = 0
 	e.EjectedUntil = time.Time{}
-	e.Probing = false
+	e.ProbeUntil = time.Time{}
 	return e
 }
 
@@ -103,7 +143,7 @@
 // the given time where that is not zero.
 func (e Endpoint) WithFailure(until time.Time) Endpoint {
 	e.Failures++
-	e.Probing = false
+	e.ProbeUntil = time.Time{}
 	if !until.IsZero() {
 		e.EjectedUntil = until
 	}
@@ -122,8 +162,37 @@
 	return e
 }
 
-// WithProbing returns a copy whose trial request is in progress.
-func (e Endpoint) WithProbing() Endpoint {
-	e.Probing = true
+// WithUnconfirmed returns a copy that is unconfirmed or not.
+func (e Endpoint) WithUnconfirmed(unconfirmed bool) Endpoint {
+	e.Unconfirmed = unconfirmed
 	return e
 }
+
+// WithProbe returns a copy whose trial request is given up at the given time.
+func (e Endpoint) WithProbe(until time.Time) Endpoint {
+	e.ProbeUntil = until
+	return e
+}
+
+// Ejected reports whether the endpoint was set aside after failures and has
+// not answered since.
+func (e Endpoint) Ejected() bool { return !e.EjectedUntil.IsZero() }
+
+// Requests returns the requests at the endpoint: the report corrected by what
+// this node has sent and got back since the report was made.
+func (e Endpoint) Requests() int {
+	return max(e.Report.InFlight+e.Report.Queued+e.Sent-e.base.sent, e.Sent, 0)
+}
+
+// RequestLoad is what a request in work counts beside the prompts that wait,
+// in prompt tokens: the share of an engine that its decoding takes.
+const RequestLoad = 512
+
+// Load returns the corrected load in prompt tokens.
+//
+// Failures in a row make an endpoint look busier, so that one which fails now
+// and then gets less work before it is ejected.
+func (e Endpoint) Load() int {
+	load := e.Requests()*RequestLoad + e.Report.Backlog + max(e.SentWork-e.base.work, 0)
+	return load * (1 + e.Failures)
+}
--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -1,3 +1,10 @@
+// Package picker chooses the endpoint for a request.
+//
+// A choice is made from values only: what is known of each endpoint, and what
+// the request needs. Load reports lag, so a load is the report corrected by
+// what this node has sent since the report was made. The candidates of a
+// deployment are prepared in a Set, and a Policy draws from it, so the cost of
+// a choice does not grow with the number of endpoints.
 package picker
 
 import (
@@ -8,16 +15,39 @@
 type Need struct {
 	RequestID  string
 	DataCentre string
+	// Phase is the kind of work that the request mostly is; "" means Both.
+	Phase Role
+	// Priority is that of the route; above NormalPriority more are compared.
+	Priority int
 	// Work is the expected work, in tokens; Pieces the engine memory.
 	Work   int
 	Pieces int
-	// Prefix is the hash chain of the prompt's beginning, longest last.
-	Prefix []uint64
+	// Holders are endpoints that may have the prompt's beginning in their
+	// cache, the longest beginning first.
+	Holders []string
 	// Tried names endpoints that have failed this request.
 	Tried []string
-	// Random is a random number by which the policy draws.
+	// MayRepeat says that the request may fail at an endpoint without harm.
+	MayRepeat bool
+	// NoProbe keeps ejected endpoints out.
+	NoProbe bool
+	// Random is a random number from which the policy draws.
 	Random uint64
 	Now    time.Time
+
+	unconfirmed bool
+}
+
+// NormalPriority is the priority of a route that sets none.
+const NormalPriority = 5
+
+// random returns the next number of a splitmix64 sequence that begins at Random.
+func (n *Need) random() uint64 {
+	n.Random += 0x9e3779b97f4a7c15
+	z := n.Random
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
 }
 
 // Rejected is an endpoint that was not chosen and the reason.
@@ -31,13 +61,14 @@
 
 // The reasons for not choosing an endpoint.
 const (
-	ReasonLeaving  Reason = "leaving"
-	ReasonDraining Reason = "draining"
-	ReasonChanging Reason = "changing"
-	ReasonEjected  Reason = "ejected"
-	ReasonTried    Reason = "tried"
-	ReasonRole     Reason = "role"
-	ReasonLoaded   Reason = "loaded"
+	ReasonLeaving     Reason = "leaving"
+	ReasonDraining    Reason = "draining"
+	ReasonChanging    Reason = "changing"
+	ReasonEjected     Reason = "ejected"
+	ReasonUnconfirmed Reason = "unconfirmed"
+	ReasonTried       Reason = "tried"
+	ReasonMemory      Reason = "memory"
+	ReasonLoaded      Reason = "loaded"
 )
 
 // Choice is the decision for one request.
@@ -45,15 +76,35 @@
 	Endpoint Endpoint
 	// OK is false if no endpoint is fit.
 	OK bool
+	// Probe says that this is the trial request of an ejected endpoint, which
+	// the caller must reserve first.
+	Probe bool
 	// Reason says why this one was chosen.
 	Reason   string
 	Rejected []Rejected
+	// Out lists endpoints that were no candidates.
+	Out []Rejected
+}
+
+func (c *Choice) reject(id string, reason Reason) {
+	for _, r := range c.Rejected {
+		if r.Endpoint == id {
+			return
+		}
+	}
+	c.Rejected = append(c.Rejected, Rejected{Endpoint: id, Reason: reason})
+}
+
+func (c *Choice) take(e Endpoint, reason string) bool {
+	c.Endpoint, c.OK, c.Reason = e, true, reason
+	return true
 }
 
-// Policy decides between endpoints that are fit.
+// Policy decides between the candidates of a deployment.
 type Policy interface {
-	// Choose returns an index into fit, which is not empty, and the reason.
-	Choose(n Need, fit []Endpoint) (int, string)
+	// Choose sets the endpoint and the reason in c and reports whether there
+	// is a fit one.
+	Choose(n *Need, v View, c *Choice) bool
 }
 
 // Picker chooses an endpoint by a policy.
@@ -61,69 +112,122 @@
 	Policy P
 }
 
-// Pick chooses one of the endpoints.
-func (p Picker[P]) Pick(n Need, endpoints []Endpoint) Choice {
-	var c Choice
-	fit := make([]Endpoint, 0, len(endpoints))
-	var tried []Endpoint
-	for _, e := range endpoints {
-		reason := exclude(n, e)
-		switch reason {
-		case "":
-			fit = append(fit, e)
-			continue
-		case ReasonTried:
-			tried = append(tried, e)
-		}
-		c.Rejected = append(c.Rejected, Rejected{Endpoint: e.ID, Reason: reason})
+// Pick chooses one of the candidates.
+//
+// If none is fit, the requirements are given up one after the other: the role,
+// engine memory, a recent confirmation, and an endpoint not tried before.
+func (p Picker[P]) Pick(n Need, v View) Choice {
+	c := Choice{Out: v.Set.out}
+	if probe(&n, v, &c) || p.Policy.Choose(&n, v, &c) {
+		return c
 	}
-	if len(fit) == 0 {
-		// An endpoint that has failed this request is better than none.
-		fit = tried
+	n.Phase, n.Pieces = Both, 0
+	if p.Policy.Choose(&n, v, &c) {
+		c.Reason = "no other role or memory; " + c.Reason
+		return c
 	}
-	if len(fit) == 0 {
+	n.unconfirmed = true
+	if e, ok := v.Draw(&n, v.Set.last, &c); ok {
+		c.take(e, "none other confirmed")
 		return c
 	}
-	i, reason := p.Policy.Choose(n, fit)
-	c.Endpoint, c.OK, c.Reason = fit[i], true, reason
+	tried := n.Tried
+	n.Tried = nil
+	if e, ok := v.Draw(&n, tried, &c); ok {
+		// An endpoint that has failed this request is better than none.
+		c.take(e, "all others tried")
+	}
 	return c
 }
 
-// exclude says why an endpoint is not fit, or "" if it is.
-func exclude(n Need, e Endpoint) Reason {
-	switch {
-	case e.Leaving || e.Report.Leaving:
-		return ReasonLeaving
-	case e.Draining:
-		return ReasonDraining
-	case e.Report.Changing:
-		return ReasonChanging
-	case n.Now.Before(e.EjectedUntil) || e.Probing:
-		return ReasonEjected
+// probe chooses an ejected endpoint whose time is over for its one trial.
+//
+// A request that must not fail is used only after the endpoint has reported
+// again.
+func probe(n *Need, v View, c *Choice) bool {
+	if n.NoProbe || len(v.Set.ejected) == 0 {
+		return false
+	}
+	e, ok := v.Rows.Get(v.Set.ejected[n.random()%uint64(len(v.Set.ejected))])
+	if !ok || !e.MayProbe(n.Now) || Status(e) != ReasonEjected || !e.Report.Role.Serves(n.Phase) {
+		return false
+	}
+	if !n.MayRepeat && !e.Report.At.After(e.EjectedUntil) {
+		return false
 	}
 	for _, t := range n.Tried {
 		if t == e.ID {
-			return ReasonTried
+			return false
 		}
 	}
-	return ""
+	c.Probe = true
+	return c.take(e, "trial after ejection")
+}
+
+// MayProbe reports whether an ejected endpoint may get its trial request.
+func (e Endpoint) MayProbe(now time.Time) bool {
+	return e.Ejected() && !now.Before(e.EjectedUntil) && !now.Before(e.ProbeUntil)
 }
 
 // TwoChoices draws two endpoints and takes the one with less load.
 //
-// The load is the report corrected by what this node has sent since.
+// It stays in the data centre of the node while the load there is within the
+// bound, and else compares with two from anywhere.
 type TwoChoices struct{}
 
-// Choose returns the less loaded of two endpoints drawn at random.
-func (TwoChoices) Choose(n Need, fit []Endpoint) (int, string) {
-	a := int(n.Random % uint64(len(fit)))
-	b := int((n.Random >> 32) % uint64(len(fit)))
-	if load(fit[b]) < load(fit[a]) {
-		a = b
+// Choose takes the less loaded of the endpoints drawn.
+func (TwoChoices) Choose(n *Need, v View, c *Choice) bool {
+	i := index(n.Phase)
+	local, ok := lesser(n, v, v.Set.local[i][n.DataCentre], c)
+	if ok && v.Within(local.Load()) {
+		return c.take(local, "less loaded of two in the data centre")
 	}
-	return a, "less loaded of two"
+	e, found := lesser(n, v, v.Set.all[i], c)
+	switch {
+	case found && (!ok || e.Load() < local.Load()):
+		return c.take(e, "less loaded of two")
+	case ok:
+		return c.take(local, "less loaded, in the data centre")
+	}
+	return false
 }
 
-func load(e Endpoint) int {
-	return max(e.Report.InFlight+e.Report.Queued+e.SentSince, e.Sent)
+// lesser returns the less loaded of two drawn, or of four for a request of
+// more than normal priority.
+func lesser(n *Need, v View, ids []string, c *Choice) (best Endpoint, ok bool) {
+	draws := 2
+	if n.Priority > NormalPriority {
+		draws = 4
+	}
+	for range min(draws, len(ids)) {
+		e, found := v.Draw(n, ids, c)
+		if !found {
+			return best, ok
+		}
+		if !ok || e.Load() < best.Load() {
+			best, ok = e, true
+		}
+	}
+	return best, ok
+}
+
+// Affine prefers an endpoint that has the prompt's beginning in its cache, as
+// long as its load is within the bound; else the next policy decides.
+type Affine[P Policy] struct {
+	Next P
+}
+
+// Choose takes the holder of the longest beginning that is fit.
+func (a Affine[P]) Choose(n *Need, v View, c *Choice) bool {
+	for _, id := range n.Holders {
+		e, ok := v.try(n, id, c)
+		if !ok || !e.Report.Role.Serves(n.Phase) {
+			continue
+		}
+		if v.Within(e.Load()) {
+			return c.take(e, "has the beginning of the prompt")
+		}
+		c.reject(id, ReasonLoaded)
+	}
+	return a.Next.Choose(n, v, c)
 }
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -2,15 +2,18 @@
 //
 // What a node knows of an endpoint comes from several sources that all lag or
 // fail: the platform's list of VMs, the endpoint's own load report, and the
-// attempts that this node made. Each source changes its part of the row.
+// attempts that this node made. Each source changes its part of the row. For
+// each deployment there is a prepared set of candidates, which is rebuilt when
+// an endpoint comes, goes, or changes its role or fitness; sums over the
+// deployment are kept up to date with each change of a row.
 package observer
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc/pool"
 
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
@@ -27,16 +30,61 @@
 	VMs   transactor.VMs
 	// Engines asks endpoints for their load.
 	Engines speaker.Client
-	Table   keeper.Table[string, picker.Endpoint]
-	// groups maps a deployment to the identifiers of its endpoints.
-	groups keeper.Table[string, []string]
+	// ReportLag is the age that load reports are taken to have.
+	ReportLag time.Duration
+	// OnGone is called for each endpoint that is dropped; nil means nothing.
+	OnGone func(id string)
+	// OnRefresh is called after each round of reports; nil means nothing.
+	OnRefresh func()
+	Table     keeper.Table[string, picker.Endpoint]
+	groups    keeper.Table[string, group]
+	// rebuilding orders rebuilds, so that the last has seen every change.
+	rebuilding sync.Mutex
+	// rounds counts rounds of reports, to take turns among the endpoints.
+	rounds keeper.Cell[int]
+}
+
+// group is what is kept of one deployment; it is an immutable value.
+type group struct {
+	// ids are in the order of the platform's list.
+	ids   []string
+	set   picker.Set
+	sums  Sums
+	stale bool
+}
+
+// Sums are sums over the endpoints of a deployment.
+type Sums struct {
+	Endpoints int
+	Ejected   int
+	// Requests and Load are the corrected reports.
+	Requests int
+	Load     int
+	// Sent is the number of requests of this node in progress.
+	Sent int
+	// Fit is the number of endpoints that take new work.
+	Fit int
+}
+
+// Mean returns the mean load of an endpoint.
+func (s Sums) Mean() int { return s.Load / max(s.Endpoints, 1) }
+
+func (s Sums) with(e picker.Endpoint, n int) Sums {
+	s.Endpoints += n
+	s.Requests += n * e.Requests()
+	s.Load += n * e.Load()
+	s.Sent += n * e.Sent
+	if e.Ejected() {
+		s.Ejected += n
+	}
+	return s
 }
 
 // Of returns the endpoints of a deployment, in the order of the platform's list.
 func (o *Observer) Of(deployment string) []picker.Endpoint {
-	ids, _ := o.groups.Get(deployment)
-	endpoints := make([]picker.Endpoint, 0, len(ids))
-	for _, id := range ids {
+	g, _ := o.groups.Get(deployment)
+	endpoints := make([]picker.Endpoint, 0, len(g.ids))
+	for _, id := range g.ids {
 		if e, ok := o.Table.Get(id); ok {
 			endpoints = append(endpoints, e)
 		}
@@ -44,108 +92,172 @@
 	return endpoints
 }
 
+// View returns what a choice among the endpoints of a deployment is made from.
+func (o *Observer) View(deployment string) picker.View {
+	g, _ := o.groups.Get(deployment)
+	return picker.View{Set: g.set, Rows: &o.Table, Mean: g.sums.Mean()}
+}
+
+// Sums returns the sums over the endpoints of a deployment.
+func (o *Observer) Sums(deployment string) Sums {
+	g, _ := o.groups.Get(deployment)
+	g.sums.Fit = g.set.Fit()
+	return g.sums
+}
+
 // Sent notes that a request of the given work goes to an endpoint.
 func (o *Observer) Sent(id string, work int) {
-	now := o.Clock.Now()
-	o.change(id, func(e picker.Endpoint) picker.Endpoint {
-		if !e.EjectedUntil.IsZero() && !now.Before(e.EjectedUntil) {
-			e = e.WithProbing()
-		}
-		return e.WithSent(work)
-	})
+	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithSent(work) })
 }
 
 // Done notes the end of a request; ok is false if the endpoint failed.
 func (o *Observer) Done(id string, work int, ok bool, rule definer.Rule) {
 	now := o.Clock.Now()
+	if ok {
+		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithSuccess() })
+		return
+	}
+	e, _ := o.Table.Get(id)
+	reserved := e.Failures+1 >= rule.EjectAfter && !e.Ejected() && o.reserveEjection(e.Deployment)
 	o.change(id, func(e picker.Endpoint) picker.Endpoint {
-		e = e.WithDone(work)
-		if ok {
-			return e.WithSuccess()
-		}
 		var until time.Time
-		if e.Failures+1 >= rule.EjectAfter {
+		if reserved || e.Ejected() {
 			until = now.Add(rule.EjectFor)
 		}
-		return e.WithFailure(until)
+		return e.WithDone(work).WithFailure(until)
+	})
+	if reserved {
+		o.release(e.Deployment)
+	}
+}
+
+// ejectedShare is the divisor of the endpoints that may be ejected at once: a
+// fault that hits all endpoints must not take a deployment out of service.
+const ejectedShare = 3
+
+// reserveEjection counts one more ejection before it is made, so that two at
+// once cannot exceed the share.
+func (o *Observer) reserveEjection(deployment string) (ok bool) {
+	o.groups.Update(deployment, func(g group, found bool) (group, bool) {
+		ok = (g.sums.Ejected+1)*ejectedShare <= g.sums.Endpoints
+		if ok {
+			g.sums.Ejected++
+		}
+		return g, found
+	})
+	return ok
+}
+
+func (o *Observer) release(deployment string) {
+	o.groups.Update(deployment, func(g group, found bool) (group, bool) {
+		g.sums.Ejected--
+		return g, found
 	})
 }
 
+// probeFor is when a trial request without a result is given up.
+const probeFor = 10 * time.Second
+
+// BeginProbe reserves the one trial request of an ejected endpoint; false
+// means that another request has it.
+func (o *Observer) BeginProbe(id string) (ok bool) {
+	now := o.Clock.Now()
+	o.change(id, func(e picker.Endpoint) picker.Endpoint {
+		if ok = e.MayProbe(now); ok {
+			return e.WithProbe(now.Add(probeFor))
+		}
+		return e
+	})
+	return ok
+}
+
+// SetDraining marks an endpoint as draining or not.
+func (o *Observer) SetDraining(id string, draining bool) {
+	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDraining(draining) })
+}
+
+// change changes an existing row and rebuilds the candidates if need be.
 func (o *Observer) change(id string, f func(picker.Endpoint) picker.Endpoint) {
-	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+	deployment, moved := o.update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
 		if !ok {
 			return e, false
 		}
 		return f(e), true
 	})
+	if moved {
+		o.rebuild(deployment)
+	}
 }
 
-// RefreshList takes the platform's list of VMs into the table.
-func (o *Observer) RefreshList(ctx context.Context) error {
-	vms, _, err := o.VMs.List(ctx)
-	if err != nil {
-		return err
+// update changes a row and the sums of its deployment, and reports whether the
+// candidates of the deployment have changed.
+func (o *Observer) update(id string, f func(picker.Endpoint, bool) (picker.Endpoint, bool)) (deployment string, moved bool) {
+	var before, after picker.Endpoint
+	var had, has bool
+	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+		before, had = e, ok
+		after, has = f(e, ok)
+		return after, has
+	})
+	if !had && !has {
+		return "", false
 	}
-	groups := make(map[string][]string)
-	listed := make(map[string]bool, len(vms))
-	for _, v := range vms {
-		listed[v.ID] = true
-		groups[v.Deployment] = append(groups[v.Deployment], v.ID)
-		o.Table.Update(v.ID, func(e picker.Endpoint, _ bool) (picker.Endpoint, bool) {
-			e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
-			e.Deployment, e.Tier = v.Deployment, v.Tier
-			return e.WithLeaving(v.State == transactor.Leaving), true
-		})
+	deployment = after.Deployment
+	if !has {
+		deployment = before.Deployment
 	}
-	for _, e := range o.Table.Values() {
-		if !listed[e.ID] {
-			o.forget(e, groups)
+	moved = had != has || picker.Status(before) != picker.Status(after) ||
+		before.Report.Role != after.Report.Role || before.DataCentre != after.DataCentre
+	o.groups.Update(deployment, func(g group, _ bool) (group, bool) {
+		if had {
+			g.sums = g.sums.with(before, -1)
 		}
-	}
-	for name, ids := range groups {
-		o.groups.Put(name, ids)
-	}
-	return nil
+		if has {
+			g.sums = g.sums.with(after, 1)
+		}
+		g.stale = g.stale || moved
+		return g, true
+	})
+	return deployment, moved
 }
 
-// forget drops an endpoint that the list no longer has, once its work is done.
-func (o *Observer) forget(e picker.Endpoint, groups map[string][]string) {
-	if _, ok := groups[e.Deployment]; !ok {
-		groups[e.Deployment] = nil
-	}
-	o.Table.Update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
-		return e.WithLeaving(true), ok && e.Sent > 0
+// rebuild prepares the candidates of a deployment anew.
+func (o *Observer) rebuild(deployment string) {
+	o.rebuilding.Lock()
+	defer o.rebuilding.Unlock()
+	// A change after this mark marks the group again and rebuilds it again.
+	o.groups.Update(deployment, func(g group, ok bool) (group, bool) {
+		g.stale = false
+		return g, ok
+	})
+	set := picker.NewSet(o.Of(deployment))
+	o.groups.Update(deployment, func(g group, ok bool) (group, bool) {
+		g.set = set
+		return g, ok
 	})
 }
 
-// concurrentReports bounds the load reports that are asked for at once.
-const concurrentReports = 16
-
-// RefreshLoad asks every endpoint for its load report.
-func (o *Observer) RefreshLoad(ctx context.Context) error {
-	p := pool.New().WithMaxGoroutines(concurrentReports)
-	for _, e := range o.Table.Values() {
-		p.Go(func() { o.refreshOne(ctx, e) })
+// rebuildStale prepares the candidates of all deployments that have changed.
+func (o *Observer) rebuildStale() {
+	var names []string
+	o.groups.Each(func(name string, g group) bool {
+		if g.stale {
+			names = append(names, name)
+		}
+		return true
+	})
+	for _, name := range names {
+		o.rebuild(name)
 	}
-	p.Wait()
-	return nil
 }
 
-func (o *Observer) refreshOne(ctx context.Context, e picker.Endpoint) {
-	l, err := o.Engines.Load(ctx, e.Address)
-	if err != nil {
-		o.Log.Debug().Str("endpoint", e.ID).Err(err).Msg("no load report")
-		return
-	}
-	report := picker.Report{
-		At:         o.Clock.Now(),
-		InFlight:   l.InFlight,
-		Queued:     l.Queued,
-		Backlog:    l.Backlog,
-		FreePieces: l.FreePieces,
-		Role:       picker.Role(l.Role),
-		Leaving:    l.Leaving,
-		Changing:   l.Changing,
+// RefreshLoad asks endpoints for their load reports.
+func (o *Observer) RefreshLoad(ctx context.Context) error {
+	o.askAll(ctx)
+	o.markUnconfirmed()
+	o.rebuildStale()
+	if o.OnRefresh != nil {
+		o.OnRefresh()
 	}
-	o.change(e.ID, func(e picker.Endpoint) picker.Endpoint { return e.WithReport(report) })
+	return nil
 }
--- /dev/null
+++ b/internal/fleet/observer/observer_test.go
@@ -0,0 +1,152 @@
+package observer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// world is the platform's list and the engines' reports.
+type world struct {
+	vms   []transactor.VM
+	age   time.Duration
+	loads map[string]speaker.Load
+}
+
+func (w *world) List(context.Context) ([]transactor.VM, time.Duration, error) {
+	return w.vms, w.age, nil
+}
+
+// RoundTrip answers a load report; an endpoint without one does not answer.
+func (w *world) RoundTrip(r *http.Request) (*http.Response, error) {
+	l, ok := w.loads[r.URL.Host]
+	if !ok {
+		return nil, errors.New("no answer")
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(speaker.EncodeLoad(l)))}, nil
+}
+
+// TestScripts guards against work for endpoints that are gone or leave,
+// against more ejections than a third, two trials at once, and sums that drift.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := &world{}
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		o := &observer.Observer{Clock: clock, Log: zerolog.Nop(), VMs: w, Engines: speaker.Client{Transport: w}}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			rule := definer.DefaultRule("d")
+			name, count := "", 1
+			if len(td.CmdArgs) > 0 {
+				name = td.CmdArgs[0].Key
+			}
+			td.MaybeScanArgs(t, "count", &count)
+			switch td.Cmd {
+			case "list":
+				w.vms, w.age = parseVMs(td.Input), 0
+				check(t, o.RefreshList(t.Context()))
+			case "reports":
+				w.loads = parseLoads(td.Input)
+				check(t, o.RefreshLoad(t.Context()))
+			case "advance":
+				d, err := time.ParseDuration(name)
+				check(t, err)
+				clock.Advance(d)
+				w.age += d
+				check(t, o.RefreshLoad(t.Context()))
+			case "send":
+				for range count {
+					o.Sent(name, 100)
+				}
+			case "answer":
+				o.Done(name, 100, true, rule)
+			case "fail":
+				for range count {
+					o.Sent(name, 100)
+					o.Done(name, 100, false, rule)
+				}
+			case "probe":
+				return fmt.Sprintln(o.BeginProbe(name), o.BeginProbe(name))
+			default:
+				td.Fatalf(t, "unknown command %s", td.Cmd)
+			}
+			return show(o)
+		})
+	})
+}
+
+func check(t *testing.T, err error) {
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// show checks the sums against the rows and lists who takes new work.
+func show(o *observer.Observer) string {
+	want := observer.Sums{}
+	for _, e := range o.Table.Values() {
+		want.Endpoints++
+		want.Requests += e.Requests()
+		want.Load += e.Load()
+		want.Sent += e.Sent
+		if e.Ejected() {
+			want.Ejected++
+		}
+	}
+	got := o.Sums("d")
+	want.Fit = got.Fit
+	var b strings.Builder
+	if got != want {
+		_, _ = fmt.Fprintf(&b, "sums %+v differ from the rows %+v\n", got, want)
+	}
+	_, _ = fmt.Fprintf(&b, "fit %d of %d, ejected %d, requests %d;", got.Fit, got.Endpoints, got.Ejected, got.Requests)
+	for _, e := range o.Of("d") {
+		reason := picker.Status(e)
+		if reason == "" {
+			reason = "fit"
+		}
+		_, _ = fmt.Fprintf(&b, " %s %s", e.ID, reason)
+	}
+	return b.String() + "\n"
+}
+
+// parseVMs reads lines "ID [leaving]".
+func parseVMs(input string) (vms []transactor.VM) {
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		vm := transactor.VM{ID: f[0], Address: f[0], DataCentre: "dc-1", Deployment: "d", State: transactor.Live}
+		if len(f) > 1 {
+			vm.State = transactor.Leaving
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// parseLoads reads lines "ID IN-FLIGHT [leaving]".
+func parseLoads(input string) map[string]speaker.Load {
+	loads := make(map[string]speaker.Load)
+	for line := range strings.Lines(input) {
+		var id, flag string
+		l := speaker.Load{Role: "both", FreePieces: 1000}
+		_, _ = fmt.Sscan(line, &id, &l.InFlight, &flag)
+		l.Leaving = flag == "leaving"
+		loads[id] = l
+	}
+	return loads
+}
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -1,7 +1,7 @@
 // Package chooser chooses the endpoint of each attempt and logs the decision.
 //
-// It gathers what the node knows of the endpoints and hands it to the pure
-// decision; what comes back is logged in one line.
+// It gathers what the node knows of the endpoints and of their caches and
+// hands it to the pure decision; what comes back is logged in one line.
 package chooser
 
 import (
@@ -10,7 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/explainer"
+	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
@@ -22,21 +24,69 @@
 	Log        zerolog.Logger
 	DataCentre string
 	Observer   *observer.Observer
+	// Index knows the prefix caches of the engines.
+	Index *indexer.Index
+	// Limits tells the limits in force.
+	Limits func() definer.Limits
 }
 
+const (
+	// maxHolders is how many holders of a beginning are tried.
+	maxHolders = 4
+	// pieceTokens is the text that one piece of engine memory holds.
+	pieceTokens = 256
+	// unknownOutput is the length of an answer that the caller does not bound.
+	unknownOutput = 256
+)
+
 // Choose returns the endpoint for the next attempt; tried names those that
 // have failed the request.
 func (c Chooser) Choose(r carrier.Request, tried []string) picker.Choice {
 	need := picker.Need{
 		RequestID:  r.ID,
 		DataCentre: c.DataCentre,
+		Phase:      picker.Both,
+		Priority:   r.Route.Priority,
 		Work:       r.Work(),
 		Tried:      tried,
+		MayRepeat:  r.MayRepeat(),
 		Random:     rand.Uint64(),
 		Now:        c.Clock.Now(),
 	}
-	p := picker.Picker[picker.TwoChoices]{}
-	choice := p.Pick(need, c.Observer.Of(r.Route.Deployment))
+	var chain [indexer.MaxBlocks]uint64
+	var prefix []uint64
+	if r.Route.Kind == definer.Model {
+		need.Phase = phase(r, c.Limits())
+		need.Pieces = (r.Work() + pieceTokens - 1) / pieceTokens
+		prefix = indexer.Chain(chain[:0], r.Prompt)
+		need.Holders = c.Index.Holders(make([]string, 0, maxHolders), prefix)
+	}
+	choice := c.pick(need, r.Route.Deployment)
+	if choice.OK && len(prefix) > 0 {
+		c.Index.Store(choice.Endpoint.ID, prefix)
+	}
 	explainer.LogRouting(c.Log, r.ID, r.Account, r.Route.Deployment, choice)
 	return choice
 }
+
+func (c Chooser) pick(need picker.Need, deployment string) picker.Choice {
+	var p picker.Picker[picker.Affine[picker.TwoChoices]]
+	choice := p.Pick(need, c.Observer.View(deployment))
+	if choice.Probe && !c.Observer.BeginProbe(choice.Endpoint.ID) {
+		need.NoProbe = true
+		choice = p.Pick(need, c.Observer.View(deployment))
+	}
+	return choice
+}
+
+// phase returns the phase that a request mostly is, as one engine does both.
+func phase(r carrier.Request, l definer.Limits) picker.Role {
+	output := r.MaxTokens
+	if output == 0 {
+		output = unknownOutput
+	}
+	if float64(r.PromptTokens)*l.WorkPrefill >= float64(output)*l.WorkDecode {
+		return picker.Prefill
+	}
+	return picker.Decode
+}
