admitter, queuer: fair queueing by work, limits, early refusal

Cause: requests waited first come first served, so one client account could fill the queue of all, and an expired request waited for a worker. Change: one lane for each deployment orders requests by virtual start of their account, by work and share, with priority within an account; the estimate is corrected by the usage when a request ends, and by the work on other nodes. A worker gets a request only while the endpoints have room. Rates and concurrency are limited for all nodes together by each node's part of the demand. A request that would miss its deadline is refused when it arrives; one that expires leaves by a timer. Work and Balance exchange plain values with the membership.

--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -105,6 +105,13 @@
 	return g.sums
 }
 
+// Room returns the requests that the fit endpoints of a deployment can work on
+// at once, and those that they have.
+func (o *Observer) Room(deployment string, slotsEach int) (slots, busy int) {
+	s := o.Sums(deployment)
+	return s.Fit * slotsEach, s.Requests
+}
+
 // Sent notes that a request of the given work goes to an endpoint.
 func (o *Observer) Sent(id string, work int) {
 	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithSent(work) })
--- /dev/null
+++ b/internal/request/queuer/queue_test.go
@@ -0,0 +1,228 @@
+package queuer_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/admitter"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/queuer"
+)
+
+type job struct {
+	request carrier.Request
+	mu      sync.Mutex
+	err     error
+}
+
+func (j *job) Request() carrier.Request { return j.request }
+
+func (j *job) Refuse(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.err = err
+}
+
+func (j *job) refused() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.err
+}
+
+// world is what the queue asks of the rest of a node.
+type world struct {
+	slots, busy int
+	nodes       int
+	work        map[string]admitter.Elsewhere
+}
+
+func (w *world) Room(string, int) (int, int) { return w.slots, w.busy }
+
+func (w *world) Elsewhere() (int, map[string]admitter.Elsewhere) { return w.nodes, w.work }
+
+func (w *world) Config() (definer.Config, error) {
+	limits := definer.DefaultLimits()
+	limits.MaxQueue = 40
+	return definer.New(definer.Definitions{
+		Accounts:    []definer.Account{{Name: "big", Share: 1}, {Name: "small", Share: 1}, {Name: "few", Share: 1, MaxConcurrent: 2}},
+		Deployments: []definer.Deployment{{Name: "m", Slots: 4}, {Name: "n", Slots: 4}},
+		Limits:      limits,
+	}), nil
+}
+
+// script runs a queue by hand: Next is called only when a job is ready.
+type script struct {
+	w       *world
+	clock   *timekeeper.Fake
+	q       *queuer.Queue[*job]
+	jobs    []*job
+	started []*job
+}
+
+// TestScripts guards against a worker that gets work for a full deployment, an
+// expired job that stays, lost jobs, and unfair shares between nodes.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{w: &world{nodes: 1}, clock: timekeeper.NewFake(time.Unix(1000, 0))}
+		s.q = &queuer.Queue[*job]{Clock: s.clock, Log: zerolog.Nop(), Configs: s.w, Rooms: s.w, Peers: s.w}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string { return s.run(t, td) })
+	})
+}
+
+func (s *script) run(t *testing.T, td *datadriven.TestData) string {
+	name, count := "", 1
+	if len(td.CmdArgs) > 0 {
+		name = td.CmdArgs[0].Key
+	}
+	td.MaybeScanArgs(t, "count", &count)
+	switch td.Cmd {
+	case "add":
+		return s.add(t, td, name, count)
+	case "next":
+		return s.next(t, count)
+	case "done":
+		for range count {
+			s.q.Done(s.started[0], carrier.Result{Usage: carrier.Usage{PromptTokens: 100, OutputTokens: 10}})
+			s.started = s.started[1:]
+		}
+	case "room":
+		td.ScanArgs(t, "slots", &s.w.slots)
+		td.ScanArgs(t, "busy", &s.w.busy)
+		td.MaybeScanArgs(t, "nodes", &s.w.nodes)
+		s.q.Balance()
+		s.q.Wake()
+	case "elsewhere":
+		var e admitter.Elsewhere
+		td.MaybeScanArgs(t, "done", &e.Done)
+		td.MaybeScanArgs(t, "running", &e.Running)
+		s.w.work = map[string]admitter.Elsewhere{name: e}
+		s.q.Balance()
+	case "advance":
+		d, err := time.ParseDuration(name)
+		if err != nil {
+			td.Fatalf(t, "%v", err)
+		}
+		s.clock.Advance(d)
+		gone := 0
+		for _, j := range s.jobs {
+			if j.refused() != nil {
+				gone++
+			}
+		}
+		return fmt.Sprintf("%d refused while they waited\n", gone)
+	default:
+		td.Fatalf(t, "unknown command %s", td.Cmd)
+	}
+	return ""
+}
+
+func (s *script) add(t *testing.T, td *datadriven.TestData, account string, count int) string {
+	deadline, to := 60, "m"
+	td.MaybeScanArgs(t, "deadline", &deadline)
+	td.MaybeScanArgs(t, "to", &to)
+	admitted, refusal := 0, ""
+	for range count {
+		now := s.clock.Now()
+		j := &job{request: carrier.Request{
+			ID: "req", Account: account, PromptTokens: 100, MaxTokens: 10,
+			Route:    definer.Route{Kind: definer.Model, Deployment: to, Priority: 5},
+			Deadline: now.Add(time.Duration(deadline) * time.Second),
+		}}
+		if err := s.q.Add(j); err != nil {
+			refusal = "; " + err.Error()
+			continue
+		}
+		admitted++
+		s.jobs = append(s.jobs, j)
+	}
+	return fmt.Sprintf("%d admitted%s\n", admitted, refusal)
+}
+
+// next takes jobs until there is none with room.
+func (s *script) next(t *testing.T, count int) string {
+	var order []string
+	for range count {
+		// The context has ended: a job that is ready is handed over at once, or
+		// there is none.
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		j, ok := s.q.Next(ctx)
+		if !ok {
+			order = append(order, "none")
+			break
+		}
+		s.started = append(s.started, j)
+		order = append(order, j.request.Account)
+	}
+	return strings.Join(order, " ") + "\n"
+}
+
+// TestNextWakes guards against workers that miss a job or a job that is lost
+// when its worker stops: every job is got exactly once or stays.
+func TestNextWakes(t *testing.T) {
+	w := &world{}
+	q := &queuer.Queue[*job]{Clock: timekeeper.System{}, Log: zerolog.Nop(), Configs: w}
+	const jobs, workers = 400, 16
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	got := make(map[*job]int)
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				// Some workers stop at once, as at the end of a node.
+				c, stop := ctx, context.CancelFunc(func() {})
+				if i%2 == 0 && n%3 == 0 {
+					c, stop = context.WithTimeout(ctx, time.Microsecond)
+				}
+				j, ok := q.Next(c)
+				stop()
+				if ok {
+					mu.Lock()
+					got[j]++
+					mu.Unlock()
+					q.Done(j, carrier.Result{})
+				}
+				if ctx.Err() != nil {
+					return
+				}
+			}
+		}()
+	}
+	for i := range jobs {
+		j := &job{request: carrier.Request{Account: fmt.Sprint(i % 7), Deadline: time.Now().Add(time.Minute)}}
+		for q.Add(j) != nil {
+			// The queue is full until the workers have caught up.
+			q.Wake()
+		}
+	}
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		mu.Lock()
+		n := len(got)
+		mu.Unlock()
+		if n == jobs {
+			break
+		}
+	}
+	cancel()
+	wg.Wait()
+	if len(got) != jobs {
+		t.Fatalf("%d of %d jobs were handed out", len(got), jobs)
+	}
+	for _, n := range got {
+		if n != 1 {
+			t.Fatalf("a job was handed out %d times", n)
+		}
+	}
+}
