request: state machine of an attempt, retry budget

Whether a failed request had run, and whether it may be tried again, was decided by separate conditions in the dispatcher and the forwarder.

attempter holds the states of an attempt and a closed set of events; the outcome and the permission to retry follow from the states reached. retrier holds the retry budget, the backoff and the bound on ejected endpoints.

--- /dev/null
+++ b/internal/request/attempter/attempter_test.go
@@ -0,0 +1,101 @@
+package attempter_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/request/attempter"
+)
+
+var errBroken = errors.New("broken")
+
+func event(name string) attempter.Event {
+	switch name {
+	case "claim-held":
+		return attempter.ClaimHeld{}
+	case "send-began":
+		return attempter.SendBegan{}
+	case "send-ended":
+		return attempter.SendEnded{}
+	case "answer-began":
+		return attempter.AnswerBegan{}
+	case "answer-ended":
+		return attempter.AnswerEnded{}
+	case "endpoint-refused":
+		return attempter.EndpointRefused{Err: errBroken}
+	case "caller-gone":
+		return attempter.Failed{Err: coder.New(coder.CallerGone, "gone")}
+	}
+	return attempter.Failed{Err: errBroken}
+}
+
+// TestAttempts guards the table from states to outcome and permission to
+// retry: each line of input is one attempt, each word an event.
+func TestAttempts(t *testing.T) {
+	datadriven.RunTest(t, "testdata/attempts", func(_ *testing.T, d *datadriven.TestData) string {
+		r := attempter.Request{Repeatable: true, Attempts: 3}
+		r.Idempotent = d.HasArg("idempotent")
+		r.Continues = d.HasArg("continues")
+		if d.HasArg("stream-body") {
+			r.Repeatable = false
+		}
+		var h attempter.History
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var a attempter.Attempt
+			begun := false
+			for _, word := range strings.Fields(line) {
+				if word == "passed-on" {
+					begun = true
+					continue
+				}
+				a = a.With(event(word))
+			}
+			h = h.WithAttempt(a, begun)
+			retry := h.Retry(r)
+			if retry == attempter.Allowed {
+				retry = "allowed"
+			}
+			_, _ = fmt.Fprintf(&out, "%s after %s: %s, request %s, retry %s\n", a.State(), a.Reached(), a.Outcome(), h.Outcome(), retry)
+		}
+		return out.String()
+	})
+}
+
+// TestNeverNotRunOnceSent guards H8 and H9 for any order of events: an attempt
+// that reached sending is not "not run" unless the endpoint said so, and a
+// request that is not idempotent is then never tried again.
+func TestNeverNotRunOnceSent(t *testing.T) {
+	names := []string{"claim-held", "send-began", "send-ended", "answer-began", "answer-ended", "endpoint-refused", "failed"}
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.SampledFrom(names), 1, 8).Draw(t, "events")
+		var a attempter.Attempt
+		sent, denied := false, false
+		for _, w := range words {
+			ended := a.State() == attempter.Ended
+			before := a.State()
+			a = a.With(event(w))
+			if a.State() < before {
+				t.Fatalf("state went back from %s to %s", before, a.State())
+			}
+			if !ended {
+				sent = sent || (w != "claim-held" && w != "endpoint-refused" && w != "failed")
+				denied = denied || w == "endpoint-refused"
+			}
+		}
+		if sent && !denied && a.Outcome() == coder.NotRun {
+			t.Fatalf("%v: not run although sent", words)
+		}
+		a = a.With(event("failed"))
+		h := attempter.History{}.WithAttempt(a, false)
+		if r := h.Retry(attempter.Request{Repeatable: true, Attempts: 9}); sent && !denied && r == attempter.Allowed {
+			t.Fatalf("%v: retry allowed", words)
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/retrier/retrier_test.go
@@ -0,0 +1,63 @@
+package retrier_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"foxtailflow.example/foxtailflow/internal/request/retrier"
+)
+
+// TestRules guards the delays and the bound on ejected endpoints.
+func TestRules(t *testing.T) {
+	datadriven.RunTest(t, "testdata/rules", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		switch d.Cmd {
+		case "backoff":
+			var random float64
+			var left int
+			d.ScanArgs(t, "random", &random)
+			d.ScanArgs(t, "left-ms", &left)
+			for n := 1; n <= 9; n += 2 {
+				wait, ok := retrier.Backoff(25*time.Millisecond, n, random, time.Duration(left)*time.Millisecond)
+				_, _ = fmt.Fprintf(&out, "retry %d: %v %t\n", n, wait, ok)
+			}
+		case "eject":
+			for _, total := range []int{1, 2, 3, 4, 6, 12} {
+				n := 0
+				for retrier.MayEject(n, total) {
+					n++
+				}
+				_, _ = fmt.Fprintf(&out, "%d of %d\n", n, total)
+			}
+		}
+		return out.String()
+	})
+}
+
+// TestBudget guards the bound on retries: a retry storm gets no more than the
+// reserve and the share of the requests.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		var b retrier.Bucket
+		requests, retries := 0, 0
+		for _, retry := range rapid.SliceOfN(rapid.Bool(), 0, 400).Draw(t, "retry") {
+			if !retry {
+				b, requests = b.WithRequest(share), requests+1
+				continue
+			}
+			var ok bool
+			if b, ok = b.WithRetry(); ok {
+				retries++
+			}
+		}
+		if float64(retries) > retrier.Reserve+share*float64(requests)+1e-6 {
+			t.Fatalf("%d retries for %d requests at a share of %g", retries, requests, share)
+		}
+	})
+}
