request: claims of idempotency keys, resumed streams, bounded retries

A repeat of an order ran again, a broken stream was never resumed at its own engine, and retries were limited by their number only.

A claim whose commit may or may not have taken effect never leads to a run; its row is removed if it turns up. A request with a claim runs to its end when its caller leaves, so that the repeat gets the answer. The dispatcher acts on the state machine of the attempt, resumes a stream once at the same engine, takes retries out of the budget, and tells engines to cancel what they may still work on. A resumed answer must repeat the number of events it starts after, each part of a model's answer must carry the request's identifier, and an answer without a length or a chunked ending is not taken for whole.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -69,11 +69,12 @@
 	OrderPending  Code = 703
 	OrderConflict Code = 704
 
-	ClaimInProgress   Code = 801
-	ClaimOtherBody    Code = 802
-	ClaimOutcomeLost  Code = 803
-	ClaimUnavailable  Code = 804
-	ClaimKeyMalformed Code = 805
+	ClaimInProgress    Code = 801
+	ClaimOtherBody     Code = 802
+	ClaimOutcomeLost   Code = 803
+	ClaimUnavailable   Code = 804
+	ClaimKeyMalformed  Code = 805
+	ClaimAnswerNotKept Code = 806
 
 	Internal       Code = 901
 	SettingsBad    Code = 902
--- a/internal/engine/speaker/control.go
+++ b/internal/engine/speaker/control.go
@@ -7,6 +7,9 @@
 package speaker
 
 import (
+	"net/url"
+	"strconv"
+
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
@@ -20,6 +23,13 @@
 	HeaderResumeFrom = "Engine-Resume-From"
 )
 
+// ResumePath returns the path at which an engine continues the stream of a
+// request after a number of events. The header Engine-Resume-From of the
+// answer repeats the number.
+func ResumePath(requestID string, from int) string {
+	return "/engine/resume/" + url.PathEscape(requestID) + "?from=" + strconv.Itoa(from)
+}
+
 // Action is what an order asks of an engine.
 type Action string
 
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -18,6 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/request/retrier"
 )
 
 // Observer keeps the table of endpoints.
@@ -58,19 +59,32 @@
 // Done notes the end of a request; ok is false if the endpoint failed.
 func (o *Observer) Done(id string, work int, ok bool, rule definer.Rule) {
 	now := o.Clock.Now()
+	mayEject := ok || o.mayEject(id, rule.Deployment, now)
 	o.change(id, func(e picker.Endpoint) picker.Endpoint {
 		e = e.WithDone(work)
 		if ok {
 			return e.WithSuccess()
 		}
 		var until time.Time
-		if e.Failures+1 >= rule.EjectAfter {
+		if e.Failures+1 >= rule.EjectAfter && mayEject {
 			until = now.Add(rule.EjectFor)
 		}
 		return e.WithFailure(until)
 	})
 }
 
+// mayEject reports whether an endpoint may be set aside beside the others.
+func (o *Observer) mayEject(id, deployment string, now time.Time) bool {
+	out, total := 0, 0
+	for _, e := range o.Of(deployment) {
+		total++
+		if e.ID != id && (now.Before(e.EjectedUntil) || e.Probing) {
+			out++
+		}
+	}
+	return retrier.MayEject(out, total)
+}
+
 func (o *Observer) change(id string, f func(picker.Endpoint) picker.Endpoint) {
 	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
 		if !ok {
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -79,7 +79,7 @@
 		return http.StatusGatewayTimeout
 	case coder.EndpointUnreachable, coder.EndpointFailed, coder.AnswerCut, coder.AnswerCrossed, coder.EndpointRefused:
 		return http.StatusBadGateway
-	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ConfigConflict:
+	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ClaimAnswerNotKept, coder.ConfigConflict:
 		return http.StatusConflict
 	case coder.ClaimOtherBody:
 		return http.StatusUnprocessableEntity
--- a/internal/front/receiver/model.go
+++ b/internal/front/receiver/model.go
@@ -47,11 +47,19 @@
 		encoder.WriteRefusal(w, f)
 		return
 	}
-	reply := newReply(rc.Clock, w, req)
+	reply := newReply(rc.Clock, w, req, rc.writeWait())
 	result := rc.Handler.Do(r.Context(), req, reply)
 	reply.end(result)
 }
 
+// writeWait returns how long a caller may take to read a piece of its answer.
+func (rc Receiver) writeWait() time.Duration {
+	if cfg, err := rc.Views.Config(); err == nil {
+		return cfg.Limits().WriteWait
+	}
+	return definer.DefaultLimits().WriteWait
+}
+
 func (rc Receiver) modelRequest(w http.ResponseWriter, r *http.Request, id string, decode func([]byte) (decoder.Prompt, error)) (carrier.Request, error) {
 	now := rc.Clock.Now()
 	cfg, err := rc.Views.Config()
--- a/internal/front/receiver/reply.go
+++ b/internal/front/receiver/reply.go
@@ -18,18 +18,17 @@
 	clock   timekeeper.Clock
 	w       http.ResponseWriter
 	control *http.ResponseController
-	stream  bool
-	begun   bool
+	// wait bounds one write to the caller: one that does not read must not
+	// hold an engine's memory.
+	wait   time.Duration
+	stream bool
+	begun  bool
 }
 
-func newReply(clock timekeeper.Clock, w http.ResponseWriter, r carrier.Request) *reply {
-	return &reply{clock: clock, w: w, control: http.NewResponseController(w), stream: r.Stream}
+func newReply(clock timekeeper.Clock, w http.ResponseWriter, r carrier.Request, wait time.Duration) *reply {
+	return &reply{clock: clock, w: w, control: http.NewResponseController(w), stream: r.Stream, wait: wait}
 }
 
-// writeWait bounds one write to a caller: one that does not read must not hold
-// an engine's memory.
-const writeWait = 10 * time.Second
-
 // connectionHeaders concern one connection only and are not passed on.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection",
@@ -52,7 +51,7 @@
 
 // Write sends a piece of the answer at once.
 func (p *reply) Write(_ context.Context, b []byte) error {
-	_ = p.control.SetWriteDeadline(p.clock.Now().Add(writeWait))
+	_ = p.control.SetWriteDeadline(p.clock.Now().Add(p.wait))
 	if _, err := p.w.Write(b); err != nil {
 		return coder.Wrap(coder.CallerGone, err, "the caller does not read its answer")
 	}
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -111,8 +111,16 @@
 	Write(ctx context.Context, p []byte) error
 }
 
+// NeedsClaim reports whether the request must hold the claim of its
+// idempotency key before it is sent.
+func (r Request) NeedsClaim() bool {
+	return r.IdempotencyKey != "" && !r.Route.MayRepeat(r.Method)
+}
+
 // Usage is what an endpoint says an answer has used.
 type Usage struct {
+	// Reported says that the endpoint has given the figures.
+	Reported     bool
 	PromptTokens int64
 	OutputTokens int64
 	CachedTokens int64
@@ -122,6 +130,10 @@
 type Result struct {
 	// Begun says whether any part of the answer went to the caller.
 	Begun bool
+	// Status is the status of the answer, 0 if none was begun.
+	Status int
+	// Replayed says that the answer is the recorded one of a former request.
+	Replayed bool
 	// Endpoint is where the answer came from.
 	Endpoint string
 	Usage    Usage
--- /dev/null
+++ b/internal/request/claimer/claimer_test.go
@@ -0,0 +1,263 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/lab/provider"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/request/claimer"
+)
+
+// start runs a claimer until the test ends.
+func start(t *testing.T, clock timekeeper.Clock, m transactor.Table, node string) *claimer.Claimer {
+	c := claimer.New(clock, zerolog.Nop(), m, node)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return c
+}
+
+func describe(taken claimer.Taken, err error) string {
+	switch {
+	case err != nil:
+		f := coder.Of(err)
+		return fmt.Sprintf("%d %s retry-after=%v", f.Code(), f.Outcome(), f.RetryAfter())
+	case taken.Replayed:
+		return fmt.Sprintf("replayed %d %s", taken.Answer.Status, taken.Answer.Body)
+	}
+	return "held"
+}
+
+// TestClaims guards the table of results for repeats, step by step. Commands
+// name a node, a request and a body.
+func TestClaims(t *testing.T) {
+	datadriven.Walk(t, "testdata/claims", func(t *testing.T, path string) {
+		// The platform's faults need no time; expiry is moved by hand.
+		clock := &shifted{}
+		m := &provider.Memory{Clock: clock}
+		nodes := map[string]*claimer.Claimer{"a": start(t, clock, m, "a"), "b": start(t, clock, m, "b")}
+		held := make(map[string]claimer.Held)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var node, request, body, account string
+			d.MaybeScanArgs(t, "node", &node)
+			d.MaybeScanArgs(t, "request", &request)
+			d.MaybeScanArgs(t, "body", &body)
+			d.MaybeScanArgs(t, "account", &account)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			switch d.Cmd {
+			case "take":
+				taken, err := nodes[node].Take(ctx, claimer.Ask{
+					Account: account, IdempotencyKey: "key", Request: request, BodyHash: claimer.BodyHash("POST", "/orders", []byte(body)),
+					Deadline: clock.Now().Add(time.Minute), For: time.Hour,
+				})
+				held[request] = taken.Held
+				return describe(taken, err) + "\n"
+			case "finish", "too-large":
+				nodes[node].Finish(held[request], claimer.Answer{Status: 200, Body: []byte(body), Kept: d.Cmd == "finish"})
+			case "lose":
+				nodes[node].Lose(held[request])
+			case "release":
+				nodes[node].Release(ctx, held[request])
+			case "settle":
+				nodes[node].Flush(ctx)
+			case "faults":
+				var f provider.Faults
+				f.TableDown = d.HasArg("down")
+				if d.HasArg("lose-answers") {
+					f.LoseAnswers = 1
+				}
+				m.SetFaults(f)
+			case "advance":
+				clock.advance(t, d)
+			case "purge":
+				if err := nodes["a"].Purge(ctx); err != nil {
+					return err.Error()
+				}
+				rows, err := m.Scan(ctx, "claim/", "", 0)
+				return fmt.Sprintf("%d rows %v\n", len(rows), err)
+			}
+			return ""
+		})
+	})
+}
+
+// shifted is the machine's clock, moved forward by hand.
+type shifted struct {
+	timekeeper.System
+	mu sync.Mutex
+	by time.Duration
+}
+
+func (s *shifted) Now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.System.Now().Add(s.by)
+}
+
+func (s *shifted) advance(t *testing.T, d *datadriven.TestData) {
+	var text string
+	d.ScanArgs(t, "by", &text)
+	by, err := time.ParseDuration(text)
+	is.New(t).NoErr(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.by += by
+}
+
+// input is an operation on one key, output what it gave.
+type input struct{ op, request string }
+
+// model is the sequential specification of one key. A refusal says nothing; a
+// request is held only if no other request has the claim, and a replay is the
+// answer of the request that had it.
+var model = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		s, i, o := state.(string), in.(input), out.(string)
+		switch {
+		case i.op == "take" && o == "held":
+			return s == "", "running " + i.request
+		case i.op == "take" && strings.HasPrefix(o, "replayed 200 "):
+			return s == "answered "+strings.TrimPrefix(o, "replayed 200 "), s
+		case i.op == "take":
+			return true, s
+		case i.op == "release":
+			return s == "running "+i.request, ""
+		}
+		return s == "running "+i.request, "answered " + i.request
+	},
+	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%v -> %v", in, out) },
+}
+
+// flaky is a table whose commits take time and lose requests and answers: some
+// have no effect, some have it later than their failure is seen.
+type flaky struct {
+	transactor.Table
+	random func() float64
+	wg     *sync.WaitGroup
+}
+
+func (f flaky) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+	unsure := coder.New(coder.PlatformUnsure, "no answer")
+	time.Sleep(time.Duration(f.random() * float64(2*time.Millisecond)))
+	switch p := f.random(); {
+	case p < 0.1:
+		return 0, unsure
+	case p < 0.2:
+		f.wg.Go(func() {
+			time.Sleep(5 * time.Millisecond)
+			_, _ = f.Table.Commit(context.WithoutCancel(ctx), tx)
+		})
+		return 0, unsure
+	case p < 0.4:
+		_, _ = f.Table.Commit(ctx, tx)
+		return 0, unsure
+	}
+	return f.Table.Commit(ctx, tx)
+}
+
+// TestHistory guards H9: callers repeat one key at three nodes at the same
+// time while commits and their answers are lost or late; the recorded history
+// must have an order in which the key is held by one request at a time.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	m := &provider.Memory{Clock: timekeeper.System{}}
+	var wg sync.WaitGroup
+	var nodes []*claimer.Claimer
+	for i := range 3 {
+		var mu sync.Mutex
+		r := rand.New(rand.NewPCG(seed, 100+uint64(i)))
+		random := func() float64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return r.Float64()
+		}
+		nodes = append(nodes, start(t, timekeeper.System{}, flaky{Table: m, random: random, wg: &wg}, fmt.Sprintf("node-%d", i)))
+	}
+	h := &history{from: time.Now()}
+	for caller := range 9 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(caller)))
+			for n := range 40 {
+				h.repeat(nodes[caller%3], caller, fmt.Sprintf("r-%d-%d", caller, n), r)
+			}
+		})
+	}
+	wg.Wait()
+	result, _ := porcupine.CheckOperationsVerbose(model, h.ops, 20*time.Second)
+	t.Logf("%d operations, %d held", len(h.ops), h.held)
+	is.Equal(result, porcupine.Ok) // the history of claims is not linearizable
+	is.True(h.held > 0)            // no request held the claim
+}
+
+type history struct {
+	mu   sync.Mutex
+	from time.Time
+	ops  []porcupine.Operation
+	held int
+}
+
+func (h *history) note(caller int, in input, run func() string) string {
+	call := time.Since(h.from).Nanoseconds()
+	out := run()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: caller, Input: in, Call: call, Output: out, Return: time.Since(h.from).Nanoseconds()})
+	if out == "held" {
+		h.held++
+	}
+	return out
+}
+
+// repeat takes the claim for one request; if it is held, the request ends as
+// not run, or rarely with an answer.
+func (h *history) repeat(c *claimer.Claimer, caller int, request string, r *rand.Rand) {
+	ctx := context.Background()
+	var taken claimer.Taken
+	out := h.note(caller, input{op: "take", request: request}, func() string {
+		var err error
+		taken, err = c.Take(ctx, claimer.Ask{
+			Account: "baden", IdempotencyKey: "key", Request: request, BodyHash: "h",
+			Deadline: time.Now().Add(time.Minute), For: time.Hour,
+		})
+		return describe(taken, err)
+	})
+	if out != "held" {
+		return
+	}
+	if r.IntN(60) == 0 {
+		h.note(caller, input{op: "finish", request: request}, func() string {
+			c.Finish(taken.Held, claimer.Answer{Status: 200, Body: []byte(request), Kept: true})
+			c.Flush(ctx)
+			return ""
+		})
+		return
+	}
+	h.note(caller, input{op: "release", request: request}, func() string {
+		c.Release(ctx, taken.Held)
+		for range 50 {
+			_ = c.Settle(ctx)
+		}
+		return ""
+	})
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -1,22 +1,28 @@
 // Package dispatcher takes a request from its arrival to the end of its answer.
 //
 // Requests wait in a queue, and a fixed pool of workers takes them out. The
-// worker that has a request chooses an endpoint, makes an attempt, and decides
-// by how far the attempt came whether another is allowed. The shared tables
-// hold what the workers know of endpoints; no lock is held while an attempt
-// runs.
+// worker that has a request takes its claim if it needs one, chooses an
+// endpoint and makes an attempt. The state machine of the attempt says what
+// may have happened; from that follow the outcome and whether another attempt
+// is allowed. The shared tables hold what the workers know of endpoints and of
+// retry budgets; no lock is held while an attempt runs.
 package dispatcher
 
 import (
 	"context"
 	"expvar"
+	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+	"foxtailflow.example/foxtailflow/internal/request/retrier"
 )
 
 // Configs tells the configuration in force.
@@ -49,17 +55,45 @@
 	Done(id string, work int, ok bool, rule definer.Rule)
 }
 
+// Claims holds the claims of idempotency keys.
+type Claims interface {
+	// Take claims a key, or returns the recorded answer.
+	Take(ctx context.Context, a claimer.Ask) (claimer.Taken, error)
+	// Finish records the whole answer, Lose that there is none.
+	Finish(h claimer.Held, a claimer.Answer)
+	Lose(h claimer.Held)
+	// Release gives the claim of a request back that did not run.
+	Release(ctx context.Context, h claimer.Held)
+}
+
+// Engines tells engines what a request no longer needs.
+type Engines interface {
+	// Cancel tells the engine at address to stop working on a request.
+	Cancel(ctx context.Context, address, requestID string) error
+}
+
 // Job is a request in the queue.
 type Job struct {
+	// ctx ends with the deadline and, but for a request with a claim, when the
+	// caller leaves: what a claimed request did is recorded for its repeat.
 	ctx     context.Context
+	caller  context.Context
 	request carrier.Request
 	reply   carrier.Reply
 	done    chan carrier.Result
+	// left are the addresses of engines that may still work on the request.
+	left []string
 }
 
 // Request returns the request of the job.
 func (j *Job) Request() carrier.Request { return j.request }
 
+// Payer is who pays for retries: a route and client account.
+type Payer struct {
+	Route   string
+	Account string
+}
+
 // Dispatcher answers requests.
 type Dispatcher struct {
 	Clock     timekeeper.Clock
@@ -68,6 +102,12 @@
 	Endpoints Endpoints
 	Forwarder forwarder.Forwarder
 	Queue     Queue
+	Claims    Claims
+	Engines   Engines
+	// Random returns a random number in [0, 1).
+	Random func() float64
+	// Budgets are the retry budgets.
+	Budgets keeper.Table[Payer, retrier.Bucket]
 }
 
 var (
@@ -75,15 +115,20 @@
 	refused  = expvar.NewInt("requests-refused")
 	failed   = expvar.NewInt("requests-failed")
 	repeated = expvar.NewInt("attempts-repeated")
+	resumed  = expvar.NewInt("streams-resumed")
+	overrun  = expvar.NewInt("retry-budget-spent")
 )
 
 // Do answers a request through reply and returns once that is done.
 func (d *Dispatcher) Do(ctx context.Context, r carrier.Request, reply carrier.Reply) carrier.Result {
-	ctx, cancel := context.WithCancel(ctx)
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	timer := d.Clock.AfterFunc(r.Deadline.Sub(d.Clock.Now()), cancel)
 	defer timer.Stop()
-	job := &Job{ctx: ctx, request: r, reply: reply, done: make(chan carrier.Result, 1)}
+	if !r.NeedsClaim() {
+		defer context.AfterFunc(ctx, cancel)()
+	}
+	job := &Job{ctx: run, caller: ctx, request: r, reply: reply, done: make(chan carrier.Result, 1)}
 	if err := d.Queue.Add(job); err != nil {
 		refused.Add(1)
 		return carrier.Result{Err: err}
@@ -93,11 +138,12 @@
 }
 
 // Handle answers the request of one job; the worker pool calls it.
-func (d *Dispatcher) Handle(_ context.Context, job *Job) {
+func (d *Dispatcher) Handle(ctx context.Context, job *Job) {
 	result := d.answer(job)
 	count(result)
 	d.Queue.Done(job, result)
 	job.done <- result
+	d.cancelLeft(ctx, job)
 }
 
 func count(r carrier.Result) {
@@ -111,8 +157,19 @@
 	}
 }
 
+// cancelWait bounds a message that only saves an engine work.
+const cancelWait = 500 * time.Millisecond
+
+// cancelLeft tells the engines that have not ended the request to stop.
+func (d *Dispatcher) cancelLeft(ctx context.Context, job *Job) {
+	for _, address := range job.left {
+		ctx, cancel := context.WithTimeout(ctx, cancelWait)
+		_ = d.Engines.Cancel(ctx, address, job.request.ID)
+		cancel()
+	}
+}
+
 func (d *Dispatcher) answer(job *Job) carrier.Result {
-	r := job.request
 	if err := d.recheck(job); err != nil {
 		return carrier.Result{Err: err}
 	}
@@ -120,38 +177,19 @@
 	if err != nil {
 		return carrier.Result{Err: err}
 	}
-	rule := cfg.Rule(r.Route.Deployment)
-	var result carrier.Result
-	var tried []string
-	events := 0
-	for n := 1; ; n++ {
-		choice := d.Chooser.Choose(r, tried)
-		if !choice.OK {
-			if result.Err == nil {
-				result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint can take the request").WithRetryAfter(rule.Backoff)
-			}
-			return result
-		}
-		rep := d.attempt(job, choice.Endpoint, rule, events)
-		events = rep.Events
-		tried = append(tried, choice.Endpoint.ID)
-		result.Begun = result.Begun || rep.Begun
-		result.Endpoint = choice.Endpoint.ID
-		result.Usage = rep.Usage
-		result.Err = d.outcome(job, rep, result.Err)
-		if rep.Err == nil || n >= rule.Attempts || !mayTryAgain(job, rep, result) {
-			return result
-		}
-		repeated.Add(1)
-		if d.Clock.Sleep(job.ctx, rule.Backoff) != nil {
-			return result
-		}
+	rule := cfg.Rule(job.request.Route.Deployment)
+	if job.request.NeedsClaim() {
+		return d.claimed(job, rule, cfg.Limits())
 	}
+	return d.run(job, job.reply, rule, attempter.Attempt{})
 }
 
 // recheck refuses a request that may no longer run when its turn comes.
 func (d *Dispatcher) recheck(job *Job) error {
 	r := job.request
+	if job.caller.Err() != nil {
+		return coder.Refuse(coder.CallerGone, "the caller left while the request waited")
+	}
 	if job.ctx.Err() != nil || !d.Clock.Now().Before(r.Deadline) {
 		return coder.Refuse(coder.DeadlinePassed, "the deadline passed while the request waited")
 	}
@@ -167,47 +205,3 @@
 	}
 	return nil
 }
-
-func (d *Dispatcher) attempt(job *Job, e picker.Endpoint, rule definer.Rule, events int) forwarder.Report {
-	w := job.request.Work()
-	d.Endpoints.Sent(e.ID, w)
-	rep := d.Forwarder.Forward(job.ctx, forwarder.Attempt{
-		Request:     job.request,
-		Address:     e.Address,
-		From:        events,
-		IdleTimeout: rule.IdleTimeout,
-	}, job.reply)
-	blame := rep.Err != nil && job.ctx.Err() == nil && !coder.Is(rep.Err, coder.CallerGone)
-	d.Endpoints.Done(e.ID, w, !blame, rule)
-	return rep
-}
-
-// outcome says what is known after an attempt: once one attempt may have run,
-// no later one makes the request "not run" again.
-func (d *Dispatcher) outcome(job *Job, rep forwarder.Report, before error) error {
-	if rep.Err == nil {
-		return nil
-	}
-	f := coder.Of(rep.Err)
-	if job.ctx.Err() != nil && !d.Clock.Now().Before(job.request.Deadline) {
-		f = coder.Wrap(coder.DeadlinePassed, rep.Err, "the deadline has passed").WithOutcome(f.Outcome())
-	}
-	if before != nil && coder.Of(before).Outcome() == coder.Unknown {
-		f = f.WithOutcome(coder.Unknown)
-	}
-	return f
-}
-
-// mayTryAgain reports whether another attempt is allowed after a failed one.
-func mayTryAgain(job *Job, rep forwarder.Report, result carrier.Result) bool {
-	switch {
-	case job.ctx.Err() != nil || coder.Is(rep.Err, coder.CallerGone):
-		return false
-	case result.Begun:
-		// Only the event stream of an engine can be continued.
-		return job.request.Stream && job.request.MayRepeat()
-	case coder.Of(rep.Err).Outcome() == coder.NotRun:
-		return job.request.Body.Repeatable()
-	}
-	return job.request.MayRepeat()
-}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -1,8 +1,9 @@
 // Package forwarder makes one attempt to have an endpoint answer a request.
 //
-// It knows HTTP and nothing of retries. What it reports is how far the attempt
-// came: whether a byte of the request may have left, and whether the answer
-// was whole. The dispatcher draws the conclusions.
+// It knows HTTP and nothing of retries. It reports what happens as events to
+// the state machine of the attempt: that a byte of the request may have left,
+// that the answer began, that it was whole. The dispatcher draws the
+// conclusions.
 package forwarder
 
 import (
@@ -16,13 +17,14 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
@@ -59,23 +61,29 @@
 type Attempt struct {
 	Request carrier.Request
 	Address string
+	// Start is the state in which the attempt begins.
+	Start attempter.Attempt
+	// Begun says that the caller has a part of the answer already.
+	Begun bool
 	// From is the number of stream events that the caller has already.
 	From int
+	// Resume continues the stream at the engine that has begun it.
+	Resume bool
 	// IdleTimeout ends an answer that makes no progress.
 	IdleTimeout time.Duration
 }
 
 // Report says how far an attempt came.
 type Report struct {
-	// Sent says that a byte of the request may have left this node.
-	Sent bool
+	// Attempt is the attempt, ended.
+	Attempt attempter.Attempt
 	// Begun says that a part of the answer went to the caller.
 	Begun bool
-	// Events is the number of stream events that the caller has in all.
+	// Status is the status of the answer that was begun.
+	Status int
+	// Events is the number of stream events that are done with in all.
 	Events int
 	Usage  carrier.Usage
-	// Err is nil if the answer was whole.
-	Err error
 }
 
 // hiddenHeaders are never passed to an endpoint: the credentials of the caller
@@ -90,14 +98,46 @@
 func (f Forwarder) Forward(ctx context.Context, a Attempt, reply carrier.Reply) Report {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	state := &keeper.Cell[attempter.Attempt]{Rank: keeper.RankAttempts}
+	note := func(e attempter.Event) {
+		state.Update(func(at attempter.Attempt) (attempter.Attempt, bool) { return at.With(e), true })
+	}
+	state.Update(func(attempter.Attempt) (attempter.Attempt, bool) { return a.Start, true })
+	rep := Report{Begun: a.Begun, Events: a.From}
+	err := f.forward(traced(ctx, note), cancel, note, a, reply, &rep)
+	var refusal refusedError
+	switch {
+	case err == nil:
+		note(attempter.AnswerEnded{})
+	case errors.As(err, &refusal):
+		note(attempter.EndpointRefused{Err: refusal.error})
+	default:
+		note(attempter.Failed{Err: err})
+	}
+	rep.Attempt = state.Get()
+	return rep
+}
+
+// refusedError is an endpoint's own statement that it has not begun.
+type refusedError struct{ error }
+
+// traced reports what happens on the connection as events.
+func traced(ctx context.Context, note func(attempter.Event)) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// From here on a byte may leave, whatever error follows.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { note(attempter.SendBegan{}) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				note(attempter.SendEnded{})
+			}
+		},
 	})
+}
+
+func (f Forwarder) forward(ctx context.Context, cancel context.CancelCauseFunc, note func(attempter.Event), a Attempt, reply carrier.Reply, rep *Report) error {
 	req, err := f.build(ctx, a)
 	if err != nil {
-		return Report{Err: err, Events: a.From}
+		return err
 	}
 	transport := f.Fresh
 	if a.Request.MayRepeat() {
@@ -105,30 +145,26 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return Report{Sent: sent.Load(), Events: a.From, Err: attemptFailure(ctx, err, sent.Load())}
+		return attemptFailure(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	rep := Report{Sent: true, Events: a.From}
-	if err := checkIdentity(a.Request, resp.Header); err != nil {
-		rep.Err = err
-		return rep
-	}
-	if refused(resp) {
-		rep.Err = coder.Refuse(coder.EndpointRefused, "endpoint %s refused the request: not run", a.Address)
-		return rep
+	note(attempter.AnswerBegan{})
+	if err := checkAnswer(a, resp); err != nil {
+		return err
 	}
 	watch := newWatchdog(f.Clock, a.IdleTimeout, cancel)
 	defer watch.stop()
-	r := relay{attempt: a, reply: reply, report: &rep, watch: watch}
+	r := relay{attempt: a, reply: reply, report: rep, watch: watch}
 	if isStream(resp) && a.Request.Route.Kind == definer.Model {
-		rep.Err = r.events(ctx, resp)
-	} else {
-		rep.Err = r.whole(ctx, resp)
+		return r.events(ctx, resp)
 	}
-	return rep
+	return r.whole(ctx, resp)
 }
 
 func (f Forwarder) build(ctx context.Context, a Attempt) (*http.Request, error) {
+	if a.Resume {
+		return f.buildResume(ctx, a)
+	}
 	r := a.Request
 	var body io.Reader = bytes.NewReader(r.Body.Bytes)
 	if r.Body.Stream != nil {
@@ -154,14 +190,53 @@
 		req.Header.Set(speaker.HeaderRequestID, r.ID)
 		req.Header.Set(speaker.HeaderPriority, strconv.Itoa(r.Route.Priority))
 	}
-	left := r.Deadline.Sub(f.Clock.Now())
-	req.Header.Set(speaker.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	req.Header.Set(speaker.HeaderDeadline, f.timeLeft(r))
 	if a.From > 0 {
 		req.Header.Set(speaker.HeaderResumeFrom, strconv.Itoa(a.From))
 	}
 	return req, nil
 }
 
+// buildResume asks the engine that has begun a stream to go on with it.
+func (f Forwarder) buildResume(ctx context.Context, a Attempt) (*http.Request, error) {
+	target := "http://" + a.Address + speaker.ResumePath(a.Request.ID, a.From)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, http.NoBody)
+	if err != nil {
+		return nil, coder.Refuse(coder.EndpointUnreachable, "malformed endpoint address %q", a.Address).WithCause(err)
+	}
+	req.Header.Set(speaker.HeaderRequestID, a.Request.ID)
+	req.Header.Set(speaker.HeaderDeadline, f.timeLeft(a.Request))
+	return req, nil
+}
+
+func (f Forwarder) timeLeft(r carrier.Request) string {
+	return strconv.FormatInt(max(r.Deadline.Sub(f.Clock.Now()).Milliseconds(), 1), 10)
+}
+
+// checkAnswer refuses, by its header, an answer that must not be passed on.
+func checkAnswer(a Attempt, resp *http.Response) error {
+	if err := checkIdentity(a.Request, resp.Header); err != nil {
+		return err
+	}
+	if refused(resp) {
+		return refusedError{coder.Refuse(coder.EndpointRefused, "endpoint %s refused the request: not run", a.Address)}
+	}
+	if a.From > 0 || a.Begun {
+		return checkContinued(a, resp)
+	}
+	return nil
+}
+
+// checkContinued refuses an answer that does not go on where the caller is: an
+// engine that does not know how to would begin again.
+func checkContinued(a Attempt, resp *http.Response) error {
+	from := resp.Header.Get(speaker.HeaderResumeFrom)
+	if resp.StatusCode != http.StatusOK || !isStream(resp) || from != strconv.Itoa(a.From) {
+		return coder.New(coder.EndpointFailed, "endpoint %s does not continue the stream after %d events", a.Address, a.From)
+	}
+	return nil
+}
+
 // checkIdentity refuses the answer to another request.
 func checkIdentity(r carrier.Request, h http.Header) error {
 	for _, name := range []string{speaker.HeaderRequestID, "Foxtailflow-Request-Id"} {
@@ -182,21 +257,16 @@
 }
 
 // attemptFailure names the failure of an attempt without an answer.
-func attemptFailure(ctx context.Context, err error, sent bool) error {
+func attemptFailure(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		err = cause
 	}
 	var op *net.OpError
-	code, text := coder.EndpointFailed, "the endpoint did not answer"
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
-		code, text = coder.DeadlinePassed, "the deadline has passed"
+		return coder.Wrap(coder.DeadlinePassed, err, "the deadline has passed")
 	case errors.As(err, &op) && op.Op == "dial":
-		code, text = coder.EndpointUnreachable, "the endpoint cannot be reached"
-	}
-	f := coder.Wrap(code, err, "%s", text)
-	if !sent {
-		f = f.WithOutcome(coder.NotRun)
+		return coder.Wrap(coder.EndpointUnreachable, err, "the endpoint cannot be reached")
 	}
-	return f
+	return coder.Wrap(coder.EndpointFailed, err, "the endpoint did not answer")
 }
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,11 +32,10 @@
 )
 
 func (r *relay) begin(ctx context.Context, resp *http.Response) error {
-	if r.attempt.From > 0 || r.report.Begun {
-		r.report.Begun = true
+	if r.report.Begun {
 		return nil
 	}
-	r.report.Begun = true
+	r.report.Begun, r.report.Status = true, resp.StatusCode
 	return r.reply.Begin(ctx, carrier.Head{Status: resp.StatusCode, Header: carrier.Header(resp.Header)})
 }
 
@@ -47,6 +47,9 @@
 	if r.attempt.Request.Route.Kind == definer.Model {
 		return r.buffered(ctx, resp)
 	}
+	if !r.delimited(resp) {
+		return coder.New(coder.EndpointFailed, "the answer has neither a length nor a chunked ending")
+	}
 	if err := r.begin(ctx, resp); err != nil {
 		return err
 	}
@@ -68,11 +71,25 @@
 	}
 }
 
+// delimited reports whether the end of the answer can be told from a cut.
+func (r *relay) delimited(resp *http.Response) bool {
+	return r.attempt.Request.Method == http.MethodHead || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
+// maxBuffered bounds an answer that is held whole, in bytes.
+const maxBuffered = 16 << 20
+
 func (r *relay) buffered(ctx context.Context, resp *http.Response) error {
-	data, err := io.ReadAll(resp.Body)
+	if !r.delimited(resp) {
+		return coder.New(coder.EndpointFailed, "the answer has neither a length nor a chunked ending")
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		return cut(ctx, err)
 	}
+	if len(data) > maxBuffered {
+		return coder.New(coder.EndpointFailed, "the answer is larger than %d bytes", maxBuffered)
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return coder.New(coder.EndpointFailed, "the engine answered %d", resp.StatusCode)
 	}
@@ -131,6 +148,8 @@
 		}
 		r.takeUsage(a)
 		if a.HasUsage && a.Choices == 0 && r.attempt.Request.HideUsage {
+			// The engine counts the event, so a stream is resumed after it.
+			r.report.Events++
 			return false, nil
 		}
 	}
@@ -147,15 +166,15 @@
 }
 
 func (r *relay) checkID(id string) error {
-	if id != "" && !strings.HasSuffix(id, r.attempt.Request.ID) {
-		return coder.New(coder.AnswerCrossed, "a part of the answer belongs to %s", id)
+	if !strings.HasSuffix(id, r.attempt.Request.ID) {
+		return coder.New(coder.AnswerCrossed, "a part of the answer belongs to %q", id)
 	}
 	return nil
 }
 
 func (r *relay) takeUsage(a speaker.Answer) {
 	if a.HasUsage {
-		r.report.Usage = carrier.Usage{PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, CachedTokens: a.CachedTokens}
+		r.report.Usage = carrier.Usage{Reported: true, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, CachedTokens: a.CachedTokens}
 	}
 }
 
