request: golden files of whole sessions; engine stand-in resumes streams

Nothing showed that a stream is resumed at the right event, that crossed answers are refused, or that a claimed order runs once.

Sessions are data files with what callers see. An outcome that is unknown is recorded before the caller is told, so that its repeat gets code 803 and not 801. Code 804 is answered with 503.

--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -85,6 +85,8 @@
 		return http.StatusUnprocessableEntity
 	case coder.ConfigNotInForce:
 		return http.StatusAccepted
+	case coder.ClaimUnavailable:
+		return http.StatusServiceUnavailable
 	case coder.Internal:
 		return http.StatusInternalServerError
 	}
--- a/internal/lab/generator/engine.go
+++ b/internal/lab/generator/engine.go
@@ -64,12 +64,9 @@
 	Delay time.Duration
 	// Swap answers with the identifier of another request.
 	Swap bool
-}
-
-type run struct {
-	cancel context.CancelFunc
-	prompt []byte
-	total  int
+	// SwapAfter gives each event after this many the identifier of another
+	// request; 0 means never.
+	SwapAfter int
 }
 
 type stamped struct {
@@ -115,39 +112,6 @@
 	e.record = append(e.record, fmt.Sprintf(format, args...))
 }
 
-// enter waits for a slot and registers the request.
-func (e *Engine) enter(ctx context.Context, id string, r *run, promptTokens int) error {
-	e.mu.Lock()
-	e.waiting++
-	e.backlog += promptTokens
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.waiting--
-		e.mu.Unlock()
-	}()
-	select {
-	case <-ctx.Done():
-		e.mu.Lock()
-		e.backlog -= promptTokens
-		e.mu.Unlock()
-		return ctx.Err()
-	case e.slots <- struct{}{}:
-	}
-	e.mu.Lock()
-	e.running[id] = r
-	e.mu.Unlock()
-	return nil
-}
-
-func (e *Engine) leave(id string) {
-	e.mu.Lock()
-	delete(e.running, id)
-	e.answered++
-	e.mu.Unlock()
-	<-e.slots
-}
-
 // prefill waits as long as the engine reads the prompt.
 func (e *Engine) prefill(ctx context.Context, promptTokens int) error {
 	d := time.Duration(promptTokens) * time.Second / time.Duration(max(e.Settings.PrefillRate, 1))
@@ -167,17 +131,6 @@
 	return e.Clock.Sleep(ctx, d)
 }
 
-// Cancel stops the work on a request.
-func (e *Engine) Cancel(id string) bool {
-	e.mu.Lock()
-	r, ok := e.running[id]
-	e.mu.Unlock()
-	if ok {
-		r.cancel()
-	}
-	return ok
-}
-
 // Load returns a load report as old as the lag.
 func (e *Engine) Load() speaker.Load {
 	e.mu.Lock()
@@ -237,11 +190,11 @@
 		return true
 	}
 	_ = e.Clock.Sleep(context.WithoutCancel(ctx), e.Settings.RoleChange)
-	e.take(o)
+	e.apply(o)
 	return true
 }
 
-func (e *Engine) take(o speaker.Order) {
+func (e *Engine) apply(o speaker.Order) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch o.Action {
--- a/internal/lab/generator/server.go
+++ b/internal/lab/generator/server.go
@@ -36,6 +36,7 @@
 	r.POST("/engine/cancel/:id", func(_ http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
 		e.Cancel(ps.ByName("id"))
 	})
+	r.POST("/engine/resume/:id", e.resume)
 	r.POST("/lab/faults", e.setFaults)
 	r.GET("/lab/record", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		for _, line := range e.Record() {
@@ -71,6 +72,7 @@
 	f.CutAfter, _ = strconv.Atoi(q.Get("cut-after"))
 	f.Delay, _ = time.ParseDuration(q.Get("delay"))
 	f.Swap, _ = strconv.ParseBool(q.Get("swap"))
+	f.SwapAfter, _ = strconv.Atoi(q.Get("swap-after"))
 	e.SetFaults(f)
 	if leaving := q.Get("leaving"); leaving != "" {
 		on, err := strconv.ParseBool(leaving)
@@ -115,31 +117,67 @@
 		if j.total == 0 {
 			j.total = defaultTokens
 		}
-		if j.faults.Swap {
-			j.id = "req-of-another"
-		}
 		j.answer(w, r)
 	}
 }
 
+// swapped stands in the place of a request's identifier by a fault.
+const swapped = "req-of-another"
+
 func (j job) answer(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	w.Header().Set(speaker.HeaderRequestID, j.id)
-	if err := j.engine.enter(ctx, j.id, &run{cancel: cancel, prompt: j.prompt.Text, total: j.total}, j.prompt.Tokens()); err != nil {
+	if j.faults.Swap {
+		w.Header().Set(speaker.HeaderRequestID, swapped)
+	} else {
+		w.Header().Set(speaker.HeaderRequestID, j.id)
+	}
+	own := &run{job: j, cancel: cancel, parked: make(chan struct{})}
+	if err := j.engine.enter(ctx, own, j.prompt.Tokens()); err != nil {
 		return
 	}
-	defer j.engine.leave(j.id)
 	if j.engine.Clock.Sleep(ctx, j.faults.Delay) != nil || j.engine.prefill(ctx, j.prompt.Tokens()) != nil {
+		j.engine.leave(own)
 		return
 	}
 	if j.prompt.Stream {
-		j.stream(ctx, w)
+		own.serve(ctx, w)
 		return
 	}
+	defer j.engine.leave(own)
 	j.whole(ctx, w)
 }
 
+// serve streams to one connection and parks the run if that is lost.
+func (r *run) serve(ctx context.Context, w http.ResponseWriter) {
+	e := r.job.engine
+	if r.job.stream(ctx, w) || !e.park(r) {
+		e.leave(r)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resume continues a stream of this engine on a new connection.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	id := ps.ByName("id")
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	own := e.take(r.Context(), id)
+	e.note("resume id=%s from=%d found=%t", id, from, own != nil)
+	if err != nil || own == nil {
+		http.Error(w, "there is no such stream", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	e.mu.Lock()
+	own.cancel = cancel
+	own.job.from, own.job.faults = from, e.faults
+	e.mu.Unlock()
+	w.Header().Set(speaker.HeaderRequestID, id)
+	own.serve(ctx, w)
+}
+
 func (j job) whole(ctx context.Context, w http.ResponseWriter) {
 	text := ""
 	for i := range j.total {
@@ -149,40 +187,50 @@
 		text += " " + word(j.prompt.Text, i)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(j.message(func(e *jx.Encoder) { j.encode(e, text, true) }, true))
+	_, _ = w.Write(j.message(0, func(e *jx.Encoder) { j.encode(e, text, true) }, true))
 }
 
-// stream sends an event for each token, one with the usage, and the end mark.
-func (j job) stream(ctx context.Context, w http.ResponseWriter) {
+// stream sends an event for each token, one with the usage, and the end mark,
+// and reports whether it sent all of them.
+func (j job) stream(ctx context.Context, w http.ResponseWriter) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if j.from > 0 {
+		w.Header().Set(speaker.HeaderResumeFrom, strconv.Itoa(j.from))
+	}
 	control := http.NewResponseController(w)
 	for i := j.from; i < j.total; i++ {
 		if j.engine.step(ctx) != nil {
-			return
+			return false
 		}
 		if j.faults.CutAfter > 0 && i-j.from >= j.faults.CutAfter {
-			panic(http.ErrAbortHandler)
+			return false
 		}
 		text := " " + word(j.prompt.Text, i)
-		j.event(w, j.message(func(e *jx.Encoder) { j.encode(e, text, i == j.total-1) }, false))
+		j.event(w, j.message(i, func(e *jx.Encoder) { j.encode(e, text, i == j.total-1) }, false))
 		_ = control.Flush()
 	}
-	if j.prompt.IncludeUsage {
-		j.event(w, j.message(nil, true))
+	// A stream resumed after the usage event has only the end mark left.
+	if j.prompt.IncludeUsage && j.from <= j.total {
+		j.event(w, j.message(j.total, nil, true))
 	}
 	j.event(w, []byte("[DONE]"))
-	_ = control.Flush()
+	return control.Flush() == nil
 }
 
 func (j job) event(w io.Writer, data []byte) {
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 }
 
-// message encodes an answer or an event; a nil choice encodes none.
-func (j job) message(choice func(*jx.Encoder), usage bool) []byte {
+// message encodes an answer or the event at a position; a nil choice encodes
+// none.
+func (j job) message(position int, choice func(*jx.Encoder), usage bool) []byte {
+	id := j.id
+	if j.faults.Swap || j.faults.SwapAfter > 0 && position >= j.faults.SwapAfter {
+		id = swapped
+	}
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("id", func(e *jx.Encoder) { e.Str("chatcmpl-" + j.id) })
+		e.Field("id", func(e *jx.Encoder) { e.Str("chatcmpl-" + id) })
 		e.Field("object", func(e *jx.Encoder) { e.Str(j.object()) })
 		e.Field("created", func(e *jx.Encoder) { e.Int(0) })
 		e.Field("model", func(e *jx.Encoder) { e.Str(j.prompt.Model) })
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -158,23 +158,31 @@
 	c.record(h, h.record.WithAnswer(a))
 }
 
-// Lose records that the request may have run and has no whole answer.
-func (c *Claimer) Lose(h Held) {
-	c.record(h, h.record.WithLost())
+// Lose records that the request may have run and has no whole answer. It waits
+// for a while, so that a repeat is told that, and not to try again later.
+func (c *Claimer) Lose(ctx context.Context, h Held) {
+	select {
+	case <-c.record(h, h.record.WithLost()):
+	case <-ctx.Done():
+	}
 }
 
-func (c *Claimer) record(h Held, r Record) {
+// record writes the end of a request and closes the channel once that was tried.
+func (c *Claimer) record(h Held, r Record) <-chan struct{} {
 	if c.unsettled.Len() > maxUnsettledBodies {
 		r = r.WithoutAnswer()
 	}
 	value := encodeRecord(r)
 	c.settle(h.key, h.record.Request, value)
-	added := c.intake.add(op{key: h.key, version: h.version, value: value, done: func(res opResult) {
+	tried := make(chan struct{})
+	done := func(res opResult) {
 		c.recorded(h.record.Request, res)
-	}})
-	if !added {
-		c.recorded(h.record.Request, opResult{err: coder.New(coder.PlatformUnsure, "too many claims wait")})
+		close(tried)
+	}
+	if !c.intake.add(op{key: h.key, version: h.version, value: value, done: done}) {
+		done(opResult{err: coder.New(coder.PlatformUnsure, "too many claims wait")})
 	}
+	return tried
 }
 
 // Release gives the claim of a request back that truly did not run, so that a
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -73,7 +73,7 @@
 			case "finish", "too-large":
 				nodes[node].Finish(held[request], claimer.Answer{Status: 200, Body: []byte(body), Kept: d.Cmd == "finish"})
 			case "lose":
-				nodes[node].Lose(held[request])
+				nodes[node].Lose(ctx, held[request])
 			case "release":
 				nodes[node].Release(ctx, held[request])
 			case "settle":
--- a/internal/request/dispatcher/claimed.go
+++ b/internal/request/dispatcher/claimed.go
@@ -12,9 +12,9 @@
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 )
 
-// releaseWait bounds how long a caller whose request did not run waits until
-// its claim is given back.
-const releaseWait = 500 * time.Millisecond
+// recordWait bounds how long a caller whose request failed waits until that is
+// recorded with its claim.
+const recordWait = 500 * time.Millisecond
 
 // replayedHeader marks a recorded answer.
 const replayedHeader = "Foxtailflow-Replayed"
@@ -42,17 +42,17 @@
 	if result.Err = d.recheck(job); result.Err == nil {
 		result = d.run(job, rec, rule, attempter.Attempt{}.With(attempter.ClaimHeld{}))
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(job.ctx), recordWait)
+	defer cancel()
 	switch {
 	case result.Err == nil:
 		d.Claims.Finish(taken.Held, rec.answer)
 		// The caller may have left an answer that the record now has whole.
 		result.Err = rec.gone
 	case coder.Of(result.Err).Outcome() == coder.NotRun:
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(job.ctx), releaseWait)
-		defer cancel()
 		d.Claims.Release(ctx, taken.Held)
 	default:
-		d.Claims.Lose(taken.Held)
+		d.Claims.Lose(ctx, taken.Held)
 	}
 	return result
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -61,7 +61,7 @@
 	Take(ctx context.Context, a claimer.Ask) (claimer.Taken, error)
 	// Finish records the whole answer, Lose that there is none.
 	Finish(h claimer.Held, a claimer.Answer)
-	Lose(h claimer.Held)
+	Lose(ctx context.Context, h claimer.Held)
 	// Release gives the claim of a request back that did not run.
 	Release(ctx context.Context, h claimer.Held)
 }
--- /dev/null
+++ b/internal/request/dispatcher/session_test.go
@@ -0,0 +1,267 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/lab/assembler"
+	"foxtailflow.example/foxtailflow/internal/lab/generator"
+	"foxtailflow.example/foxtailflow/internal/lab/provider"
+	"foxtailflow.example/foxtailflow/internal/lab/servicer"
+)
+
+const secret = "ff-session"
+
+const configuration = `
+[client-account "baden"]
+
+[key "key-1"]
+client-account = baden
+hash = %s
+
+[deployment "wichse-llm"]
+kind = model
+model = wichse-llm
+
+[route "recipes"]
+kind = model
+model = wichse-llm
+deployment = wichse-llm
+deadline = 10s
+
+[deployment "ladentisch"]
+kind = plain
+
+[route "orders"]
+kind = plain
+path = /orders
+deployment = ladentisch
+deadline = 5s
+`
+
+// TestSessions guards H7, H8 and H9 by golden files of whole sessions: each
+// command is what callers, operators or faults do, its output what they see.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		s := &session{is: is.New(t)}
+		defer s.stop()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.run(d)
+		})
+	})
+}
+
+type session struct {
+	t     *testing.T
+	is    *is.I
+	world *assembler.World
+}
+
+func (s *session) stop() {
+	if s.world != nil {
+		s.world.Stop()
+	}
+}
+
+func (s *session) run(d *datadriven.TestData) string {
+	node, engine := 1, 1
+	var key, by string
+	body := strings.TrimSpace(d.Input)
+	d.MaybeScanArgs(s.t, "node", &node)
+	d.MaybeScanArgs(s.t, "engine", &engine)
+	d.MaybeScanArgs(s.t, "key", &key)
+	d.MaybeScanArgs(s.t, "by", &by)
+	switch d.Cmd {
+	case "world":
+		s.start(d)
+	case "engine-faults":
+		s.world.Engines[engine-1].SetFaults(generator.Faults{
+			CutAfter: s.number(d, "cut-after"), SwapAfter: s.number(d, "swap-after"), Swap: d.HasArg("swap"),
+			Delay: time.Duration(s.number(d, "delay-ms")) * time.Millisecond,
+		})
+	case "service-faults":
+		s.world.Services[0].SetFaults(servicer.Faults{
+			LoseAnswers: d.HasArg("lose-answers"),
+			Delay:       time.Duration(s.number(d, "delay-ms")) * time.Millisecond,
+		})
+	case "platform-faults":
+		s.world.Platform.SetFaults(provider.Faults{TableDown: d.HasArg("down")})
+	case "chat":
+		return s.chat(node, body, s.number(d, "leave-after"))
+	case "order":
+		leave := time.Duration(s.number(d, "leave-after-ms")) * time.Millisecond
+		out := s.order(node, key, body, leave)
+		for d.HasArg("until-ended") && strings.Contains(out, `"801"`) {
+			out = s.order(node, key, body, leave)
+		}
+		return out
+	case "orders":
+		return s.orders(key, body, s.number(d, "callers"))
+	case "runs":
+		return fmt.Sprintf("%d\n", s.world.Services[0].Runs(body))
+	case "records":
+		return s.records()
+	case "await":
+		s.await(by)
+	default:
+		d.Fatalf(s.t, "there is no command %s", d.Cmd)
+	}
+	return ""
+}
+
+func (s *session) number(d *datadriven.TestData, name string) (n int) {
+	d.MaybeScanArgs(s.t, name, &n)
+	return n
+}
+
+func (s *session) start(d *datadriven.TestData) {
+	w, err := assembler.New(context.Background(), assembler.Plan{
+		Nodes: s.number(d, "nodes"), Engines: s.number(d, "engines"), Services: s.number(d, "services"),
+		Engine:          generator.Settings{Model: "wichse-llm", PrefillRate: 20_000, DecodeRate: 400, Slots: 16, Pieces: 1000},
+		Files:           map[string]string{"main.ini": fmt.Sprintf(configuration, authenticator.HashText(secret))},
+		ModelDeployment: "wichse-llm",
+		PlainDeployment: "ladentisch",
+		OperatorSecret:  "operator",
+		Log:             zerolog.Nop(),
+	})
+	s.is.NoErr(err)
+	s.world = w
+}
+
+// await repeats a look at the engines' records until one has the text.
+func (s *session) await(text string) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if strings.Contains(s.records(), text) {
+			return
+		}
+	}
+	s.t.Fatalf("no %q in the records:\n%s", text, s.records())
+}
+
+var identifiers = regexp.MustCompile(`req-[0-9a-f]{32}`)
+
+// records returns what the engines received, each in its order, with numbers
+// in the place of request identifiers.
+func (s *session) records() string {
+	var all []string
+	for _, e := range s.world.Engines {
+		all = append(all, strings.Join(e.Record(), "\n"))
+	}
+	sort.Strings(all)
+	names := make(map[string]string)
+	return identifiers.ReplaceAllStringFunc(strings.Join(all, "\n--\n")+"\n", func(id string) string {
+		if names[id] == "" {
+			names[id] = fmt.Sprintf("req-%d", len(names)+1)
+		}
+		return names[id]
+	})
+}
+
+func (s *session) post(ctx context.Context, node int, path, key, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.world.Address(node-1)+path, strings.NewReader(body))
+	s.is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+secret)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+}
+
+// chat sends a request to the model and shows the texts of its answer; the
+// caller leaves after a number of events, if one is given.
+func (s *session) chat(node int, body string, leaveAfter int) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resp, err := s.post(ctx, node, "/v1/chat/completions", "", body)
+	s.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	var out strings.Builder
+	_, _ = fmt.Fprintf(&out, "%d %s\n", resp.StatusCode, resp.Header.Get("Foxtailflow-Outcome"))
+	lines := bufio.NewScanner(resp.Body)
+	for events := 0; lines.Scan(); {
+		if line := shown(lines.Text()); line != "" {
+			out.WriteString(line + "\n")
+			events++
+		}
+		if leaveAfter > 0 && events >= leaveAfter {
+			return out.String() + "left\n"
+		}
+	}
+	if lines.Err() != nil {
+		out.WriteString("cut\n")
+	}
+	return out.String()
+}
+
+var shownParts = regexp.MustCompile(`"content":"[^"]*"|"usage":\{[^}]*\}|"code":"[^"]*"|\[DONE\]`)
+
+func shown(line string) string {
+	parts := slices.Compact(shownParts.FindAllString(line, -1))
+	return strings.Join(parts, " ")
+}
+
+// order places an order; the caller leaves after a time, if one is given.
+func (s *session) order(node int, key, body string, leaveAfter time.Duration) string {
+	ctx := context.Background()
+	if leaveAfter > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, leaveAfter)
+		defer cancel()
+	}
+	resp, err := s.post(ctx, node, "/orders", key, body)
+	if err != nil {
+		return "left\n"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	text := strings.TrimSpace(string(data))
+	if resp.StatusCode != http.StatusOK {
+		text = shown(text)
+	}
+	if err != nil {
+		text += " cut"
+	}
+	h := resp.Header
+	return fmt.Sprintf("%d outcome=%s retry-after=%s replayed=%s %s\n", resp.StatusCode,
+		h.Get("Foxtailflow-Outcome"), h.Get("Retry-After"), h.Get("Foxtailflow-Replayed"), text)
+}
+
+// orders sends one order from many callers to all nodes at the same time and
+// shows what no answer may be.
+func (s *session) orders(key, body string, callers int) string {
+	answers := make([]string, callers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() { answers[i] = s.order(1+i%len(s.world.Nodes), key, body, 0) })
+	}
+	wg.Wait()
+	placed, notRun, unknown := 0, 0, 0
+	for _, a := range answers {
+		switch {
+		case strings.HasPrefix(a, "200 "):
+			placed++
+		case strings.Contains(a, "outcome=not-run"):
+			notRun++
+		default:
+			unknown++
+		}
+	}
+	s.t.Logf("%d answered, %d not run, %d unknown", placed, notRun, unknown)
+	return fmt.Sprintf("runs=%d answered=%t not-run=%d\n", s.world.Services[0].Runs(body), placed > 0, notRun)
+}
