authority: leases, duty ranking and fenced sending

Duties had values and an interface but no leases.

A beat is used for one commit only. With a reused beat, a renewal that took effect late passes for a later one at the read-back, and the holder trusts the lease for too long. After an outage of the store a contender counts the unchanged time anew, so that the holder can renew first.

With the lease check before the dial, TestLapsedLease fails with "not true: order(s, address) != nil // the order was not sent" and TestPausedSender with "the receiver did not close the connection".

--- /dev/null
+++ b/internal/authority/leaser/leaser.go
@@ -0,0 +1,307 @@
+package leaser
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// The times of a lease.
+const (
+	// Duration is how long others leave a lease alone after a renewal.
+	Duration = 6 * time.Second
+	// Margin is taken off at the holder and added at a contender, so that
+	// clocks that run at slightly different rates do no harm.
+	Margin = time.Second
+	// RenewEvery leaves a holder two more tries before the lease ends.
+	RenewEvery = 2 * time.Second
+	// FollowEvery is the delay between two looks at what is due.
+	FollowEvery = 250 * time.Millisecond
+
+	// retryEvery is the mean delay after a call that failed.
+	retryEvery = 500 * time.Millisecond
+	// rankWait keeps the nodes that watch a duty from taking it over at once.
+	rankWait = 500 * time.Millisecond
+	// callLimit bounds one call, so that one slow call does not delay the
+	// renewal of other leases beyond their end.
+	callLimit = time.Second
+	// concurrentCalls bounds the calls for different duties at once.
+	concurrentCalls = 16
+)
+
+// Leaser takes, renews and releases leases for one process.
+type Leaser struct {
+	Clock timekeeper.Clock
+	Log   zerolog.Logger
+	Table transactor.Table
+	// Name names this process in lease rows. It must differ after a restart: a
+	// process must not take the lease of an earlier one for its own.
+	Name string
+	// Watches returns the duties that this node watches and its rank in each.
+	Watches func() map[string]int
+	// Random returns numbers from 0 to below 1 that spread calls; nil means rand.
+	Random func() float64
+	// Duties has what is known of each duty; Follow writes it.
+	Duties keeper.Table[string, duty]
+}
+
+var _ Holder = (*Leaser)(nil)
+
+// RowKey returns the key of the row that the holder of a duty renews.
+func RowKey(name string) string { return "lease/" + name }
+
+// Grant returns the present lease of a duty; false if this node has none.
+func (l *Leaser) Grant(name string) (Grant, bool) {
+	d, ok := l.Duties.Get(name)
+	if !ok || !d.mine || !l.Clock.Now().Before(d.until) {
+		return Grant{}, false
+	}
+	return d.grant(name), true
+}
+
+// Check fails with LeaseNotHeld if the grant can no longer be trusted.
+func (l *Leaser) Check(g Grant) error {
+	have, ok := l.Grant(g.Duty)
+	if !ok || have.Epoch != g.Epoch || have.Token != g.Token {
+		return coder.Refuse(coder.LeaseNotHeld, "the lease of %s is not held with fencing token %d", g.Duty, g.Token)
+	}
+	return nil
+}
+
+// Held returns the leases that this node holds, in the order of their duties.
+func (l *Leaser) Held() []Grant {
+	var held []Grant
+	now := l.Clock.Now()
+	l.Duties.Each(func(name string, d duty) bool {
+		if d.mine && now.Before(d.until) {
+			held = append(held, d.grant(name))
+		}
+		return true
+	})
+	slices.SortFunc(held, func(a, b Grant) int { return strings.Compare(a.Duty, b.Duty) })
+	return held
+}
+
+// Follow does what is due for each duty; it is run again and again by one task.
+func (l *Leaser) Follow(ctx context.Context) error {
+	watches := l.Watches()
+	p := pool.New().WithMaxGoroutines(concurrentCalls)
+	for name, rank := range watches {
+		p.Go(func() { l.step(ctx, name, rank) })
+	}
+	l.Duties.Each(func(name string, d duty) bool {
+		if _, ok := watches[name]; !ok && d.mine {
+			p.Go(func() { l.release(ctx, name, duty.withLoss) })
+		}
+		return true
+	})
+	p.Wait()
+	return nil
+}
+
+// Release gives all leases back; the node takes none afterwards.
+func (l *Leaser) Release(ctx context.Context) {
+	var names []string
+	l.Duties.Each(func(name string, _ duty) bool {
+		names = append(names, name)
+		return true
+	})
+	for name := range l.Watches() {
+		names = append(names, name)
+	}
+	for _, name := range names {
+		l.release(ctx, name, duty.withClosed)
+	}
+}
+
+// release gives one lease back, if this node has it. The grant ends before the
+// commit is sent, so a successor may take the duty as soon as it sees the row.
+func (l *Leaser) release(ctx context.Context, name string, end func(duty) duty) {
+	var was duty
+	l.Duties.Update(name, func(d duty, _ bool) (duty, bool) {
+		was = d
+		return end(d), true
+	})
+	if !was.mine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	free := lease{token: was.row.token, beat: was.beat()}
+	_, err := l.Table.Commit(ctx, transactor.Tx{}.
+		WithCheck(RowKey(name), was.version).
+		WithPut(RowKey(name), encodeLease(free)))
+	l.Log.Info().Str("duty", name).Uint64("fencing-token", was.row.token).AnErr("failure", err).Msg("lease released")
+}
+
+// step does what is due for one duty.
+func (l *Leaser) step(ctx context.Context, name string, rank int) {
+	now := l.Clock.Now()
+	d, ok := l.Duties.Get(name)
+	if !ok {
+		// Nodes that start together do not read together.
+		l.store(name, duty{next: now.Add(l.spread(retryEvery))})
+		return
+	}
+	if d.closed || now.Before(d.next) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	switch {
+	case len(d.tried) > 0:
+		d = l.readBack(ctx, name, d)
+	case d.mine:
+		d = l.renew(ctx, name, d)
+	default:
+		d = l.watch(ctx, name, rank, d)
+	}
+	l.store(name, d)
+}
+
+// store keeps the new value unless the node has begun to leave.
+func (l *Leaser) store(name string, d duty) {
+	l.Duties.Update(name, func(old duty, ok bool) (duty, bool) {
+		if ok && old.closed {
+			return old, true
+		}
+		return d, true
+	})
+}
+
+// spread returns a delay from half of d to one and a half of it.
+func (l *Leaser) spread(d time.Duration) time.Duration {
+	random := rand.Float64
+	if l.Random != nil {
+		random = l.Random
+	}
+	return time.Duration(float64(d) * (0.5 + random()))
+}
+
+// renew writes the next beat of a lease that this node has.
+//
+// The lease may have ended here meanwhile. If no contender took it, the
+// renewal is the same tenure, because no other process had the duty between.
+func (l *Leaser) renew(ctx context.Context, name string, d duty) duty {
+	t := try{lease: lease{holder: l.Name, token: d.row.token, beat: d.beat()}, sent: l.Clock.Now()}
+	d = d.withSent(t)
+	version, err := l.Table.Commit(ctx, transactor.Tx{}.
+		WithCheck(RowKey(name), d.version).
+		WithPut(RowKey(name), encodeLease(t.lease)))
+	if err != nil {
+		l.Log.Warn().Str("duty", name).Err(err).Msg("lease not renewed")
+		return l.failed(d, t, err)
+	}
+	return d.withRenewal(t, version).withNext(t.sent.Add(RenewEvery))
+}
+
+// failed returns what is known after a commit that failed.
+func (l *Leaser) failed(d duty, t try, err error) duty {
+	now := l.Clock.Now()
+	switch {
+	case coder.Is(err, coder.PlatformConflict):
+		// An earlier commit of this node may have taken effect late.
+		return d.withTry(t).withNext(now)
+	case noEffect(err):
+		return d.withUnseen().withNext(now.Add(l.spread(retryEvery)))
+	}
+	return d.withTry(t).withNext(now.Add(l.spread(retryEvery) / 2))
+}
+
+// noEffect reports whether a failed commit cannot have taken effect.
+func noEffect(err error) bool {
+	f := coder.Of(err)
+	return f.Outcome() == coder.NotRun && f.Code() != coder.PlatformUnsure
+}
+
+// read returns the lease row; an absent row has version 0.
+func (l *Leaser) read(ctx context.Context, name string) (lease, uint64, error) {
+	r, err := l.Table.Get(ctx, RowKey(name))
+	if coder.Is(err, coder.RowUnknown) {
+		return lease{}, 0, nil
+	}
+	if err != nil {
+		return lease{}, 0, err
+	}
+	row, err := decodeLease(r.Value)
+	return row, r.Version, err
+}
+
+// readBack finds out which of the tried commits took effect.
+func (l *Leaser) readBack(ctx context.Context, name string, d duty) duty {
+	row, version, err := l.read(ctx, name)
+	now := l.Clock.Now()
+	if err != nil {
+		return d.withNext(now.Add(l.spread(retryEvery)))
+	}
+	for _, t := range d.tried {
+		switch {
+		case t.lease != row:
+		case d.mine:
+			return d.withRenewal(t, version).withNext(t.sent.Add(RenewEvery))
+		default:
+			l.Log.Info().Str("duty", name).Uint64("fencing-token", row.token).Msg("lease taken, as read back")
+			return d.withTakeover(t, version).withNext(t.sent.Add(RenewEvery))
+		}
+	}
+	if d.mine && row.holder == l.Name && row.token == d.row.token {
+		// No renewal took effect, or one whose time is no longer known.
+		return d.withoutTries().withRow(row, version, now).withNext(now)
+	}
+	if d.mine {
+		l.Log.Warn().Str("duty", name).Str("holder", row.holder).Uint64("fencing-token", row.token).Msg("lease lost")
+		d = d.withLoss()
+	}
+	return d.withoutTries().withRow(row, version, now).withNext(now.Add(l.spread(RenewEvery)))
+}
+
+// watch reads the lease of another process and takes it over once it has ended.
+func (l *Leaser) watch(ctx context.Context, name string, rank int, d duty) duty {
+	row, version, err := l.read(ctx, name)
+	// Time counts from after the answer: the row may have been written while
+	// the read was under way.
+	now := l.Clock.Now()
+	if err != nil {
+		// After an outage the holder gets the whole time to renew.
+		return d.withUnseen().withNext(now.Add(l.spread(RenewEvery)))
+	}
+	d = d.withRow(row, version, now)
+	wait := time.Duration(rank) * rankWait
+	if row.holder != "" {
+		wait += Duration + Margin
+	}
+	due := d.since.Add(wait)
+	if now.Before(due) {
+		next := now.Add(RenewEvery)
+		if due.Before(next) {
+			next = due
+		}
+		return d.withNext(next)
+	}
+	return l.takeOver(ctx, name, d)
+}
+
+func (l *Leaser) takeOver(ctx context.Context, name string, d duty) duty {
+	t := try{lease: lease{holder: l.Name, token: d.row.token + 1, beat: d.beat()}, sent: l.Clock.Now()}
+	d = d.withSent(t)
+	content := encodeLease(t.lease)
+	version, err := l.Table.Commit(ctx, transactor.Tx{}.
+		WithCheck(RowKey(name), d.version).
+		WithPut(RowKey(name), content).
+		WithPut(EpochKey(name), content))
+	if err != nil {
+		return l.failed(d, t, err)
+	}
+	l.Log.Info().Str("duty", name).Uint64("fencing-token", t.lease.token).Msg("lease taken")
+	return d.withTakeover(t, version).withNext(t.sent.Add(RenewEvery))
+}
--- /dev/null
+++ b/internal/authority/sender/sender.go
@@ -0,0 +1,120 @@
+// Package sender sends an order only while its sender's lease is valid.
+//
+// A process can be paused at any point, so a check before the sending is never
+// enough by itself. The sender therefore dials first, then checks the lease on
+// its monotonic clock, then writes the request in one piece on that connection,
+// and does nothing a second time. The connection is as old as the lease check
+// or older. The receiver closes a connection on which no whole request header
+// arrives within its limit, so a request that a pause delays beyond that limit
+// after the lease meets a closed connection.
+package sender
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// maxRequest bounds a request. It fits into the send buffer of a new
+// connection, so one write hands the whole request to the kernel and a pause
+// cannot come between the header and the body.
+const maxRequest = 16 << 10
+
+// Sender is an http.RoundTripper that sends under one grant.
+//
+// It is an immutable value; the With methods return changed copies.
+type Sender struct {
+	Holder leaser.Holder
+	// Grant is the lease under which requests are sent.
+	Grant leaser.Grant
+	// Dial opens a connection; nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+var _ http.RoundTripper = Sender{}
+
+// WithGrant returns a copy that sends under g.
+func (s Sender) WithGrant(g leaser.Grant) Sender {
+	s.Grant = g
+	return s
+}
+
+// RoundTrip sends a request once on a connection of its own.
+//
+// It fails with LeaseNotHeld, and nothing was sent, if the lease has ended.
+func (s Sender) RoundTrip(req *http.Request) (*http.Response, error) {
+	data, err := encode(req)
+	if err != nil {
+		return nil, err
+	}
+	dial := s.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	conn, err := dial(req.Context(), "tcp", req.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(req.Context(), func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	resp, err := s.exchange(conn, req, data)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, err
+	}
+	resp.Body = body{ReadCloser: resp.Body, conn: conn, stop: stop}
+	return resp, nil
+}
+
+// exchange checks the lease, writes the request and reads the response header.
+func (s Sender) exchange(conn net.Conn, req *http.Request, data []byte) (*http.Response, error) {
+	if err := s.Holder.Check(s.Grant); err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(data); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(bufio.NewReader(conn), req)
+}
+
+// encode returns the request as it goes over the wire.
+func encode(req *http.Request) ([]byte, error) {
+	if req.URL.Scheme != "http" {
+		return nil, coder.Refuse(coder.SettingsBad, "fenced sending has no scheme %q", req.URL.Scheme)
+	}
+	once := req.Clone(req.Context())
+	once.Close = true
+	var b bytes.Buffer
+	err := once.Write(&b)
+	if req.Body != nil {
+		_ = req.Body.Close()
+	}
+	if err != nil {
+		return nil, coder.Wrap(coder.Internal, err, "the request cannot be encoded").WithOutcome(coder.NotRun)
+	}
+	if b.Len() > maxRequest {
+		return nil, coder.Refuse(coder.BodyTooLarge, "a fenced request has at most %d bytes, not %d", maxRequest, b.Len())
+	}
+	return b.Bytes(), nil
+}
+
+// body closes the connection with the response.
+type body struct {
+	io.ReadCloser
+	conn net.Conn
+	stop func() bool
+}
+
+// Close closes the connection.
+func (b body) Close() error {
+	b.stop()
+	_ = b.ReadCloser.Close()
+	return b.conn.Close()
+}
--- /dev/null
+++ b/internal/authority/sender/sender_test.go
@@ -0,0 +1,104 @@
+package sender_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/authority/sender"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/lab/generator"
+)
+
+// holder is a Holder whose check runs a function.
+type holder func() error
+
+func (h holder) Grant(string) (leaser.Grant, bool) { return leaser.Grant{}, true }
+
+func (h holder) Check(leaser.Grant) error { return h() }
+
+// receiver is an engine that ignores fencing tokens, with a connection limit.
+func receiver(t *testing.T, limit time.Duration, closed chan<- struct{}) (*generator.Engine, string) {
+	e := generator.New(timekeeper.System{}, generator.Settings{OrderConnectionLimit: limit})
+	s := httptest.NewUnstartedServer(e.Handler())
+	s.Config.ReadHeaderTimeout = limit
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return e, s.Listener.Addr().String()
+}
+
+func order(s sender.Sender, address string) error {
+	c := speaker.Client{}.WithTransport(s)
+	return c.Order(context.Background(), address, speaker.Order{ID: "ord-1", FencingToken: 1, Action: speaker.SetRole, Value: "decode"})
+}
+
+// TestPausedSender guards against an order that takes effect after a pause
+// between the lease check and the write.
+func TestPausedSender(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 8)
+	e, address := receiver(t, 50*time.Millisecond, closed)
+	dials := 0
+	s := sender.Sender{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials++
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+		// The check holds, and the process is paused right after it.
+		Holder: holder(func() error {
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				t.Error("the receiver did not close the connection")
+			}
+			return nil
+		}),
+	}
+	is.True(order(s, address) != nil)    // the order did not arrive
+	is.Equal(dials, 1)                   // nothing was sent on another connection
+	is.Equal(len(e.Record()), 0)         // the engine received nothing
+	is.Equal(e.State().Role, "both")     // the engine is unchanged
+	is.Equal(e.State().Phase, "serving") // no change has begun
+}
+
+// TestLapsedLease guards against sending when the lease ends during the dial.
+func TestLapsedLease(t *testing.T) {
+	is := is.New(t)
+	e, address := receiver(t, time.Second, make(chan struct{}, 8))
+	valid := true
+	s := sender.Sender{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			defer func() { valid = false }()
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+		Holder: holder(func() error {
+			if !valid {
+				return coder.Refuse(coder.LeaseNotHeld, "the lease has ended")
+			}
+			return nil
+		}),
+	}
+	is.True(order(s, address) != nil) // the order was not sent
+	is.Equal(len(e.Record()), 0)      // the engine received nothing
+}
+
+// TestHeldLease shows that an order under a valid lease takes effect.
+func TestHeldLease(t *testing.T) {
+	is := is.New(t)
+	e, address := receiver(t, time.Second, make(chan struct{}, 8))
+	is.NoErr(order(sender.Sender{Holder: holder(func() error { return nil })}, address))
+	is.Equal(e.State().Role, "decode")
+}
