fleet: orders to engines and the platform, and drains

Nothing placed endpoints: an engine was never ordered, and no endpoint was kept free of new work before a change. The orderer now records each order in a commit guarded by the epoch of the lease, sends it fenced, reads its effect back, and finishes what a predecessor recorded before it orders anything different. The drainer lists draining endpoints in the row drain/DEPLOYMENT, which every node reads each second. The node holds the placement duties of its configuration; the settings key order-connection-limit of section [platform] states the platform's limit.

An own order whose answer was lost has the same fencing token as the next one, so a different order also waits for the connection limit after such a loss. Every new platform order changes the row fleet-order-head/DEPLOYMENT, so that a commit that takes effect after it was given up cannot add a second order.

--- /dev/null
+++ b/internal/fleet/drainer/drainer.go
@@ -0,0 +1,163 @@
+// Package drainer keeps new work away from endpoints that will stop.
+//
+// Before a change that takes an endpoint out of service, the holder of the
+// placement lists the endpoint in the row drain/DEPLOYMENT. Every node reads
+// these rows and marks the endpoints in its table, so that no new request is
+// sent there, while those that run go on to their end. An endpoint is drained
+// once every node has had time to read the row and the endpoint itself reports
+// nothing in flight.
+//
+// An endpoint that leaves by itself gets no new work either: the platform's
+// list and the endpoint's own signal mark it in the endpoint table. If the
+// list is too old to tell, an endpoint that stopped reporting counts as gone,
+// and one that still reports stays in use, so that an outage of the list does
+// not take the whole fleet away.
+package drainer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// The times of a drain.
+const (
+	// RefreshEvery is the delay between two reads of the rows.
+	RefreshEvery = time.Second
+	// NoticeWait is the time in which every node has read a row: the delay
+	// between two reads with its jitter, one call, and a request that is being
+	// sent meanwhile. It leaves a second of the bound of 5 s for leaving endpoints.
+	NoticeWait = 4 * time.Second
+	// ListLimit is the age from which the platform's list tells nothing.
+	ListLimit = 10 * time.Second
+	// ReportLimit is the age from which a load report no longer shows that the
+	// endpoint runs.
+	ReportLimit = 4 * time.Second
+)
+
+// Drainer marks the endpoints that get no new work.
+type Drainer struct {
+	Clock timekeeper.Clock
+	Log   zerolog.Logger
+	Table transactor.Table
+	// Endpoints is the node's table of endpoints.
+	Endpoints *keeper.Table[string, picker.Endpoint]
+	// List tells how old the platform's list is.
+	List *Lister
+
+	notices keeper.Cell[notices]
+}
+
+// Refresh reads which endpoints drain and marks them; a task runs it.
+func (d *Drainer) Refresh(ctx context.Context) error {
+	rows, err := transactor.ScanAll(ctx, d.Table, prefix)
+	if err == nil {
+		err = d.take(rows)
+	}
+	d.mark()
+	return err
+}
+
+func (d *Drainer) take(rows []transactor.Row) error {
+	read := make(notices, len(rows))
+	now := d.Clock.Now()
+	old := d.notices.Get()
+	for _, r := range rows {
+		ids, err := decodeIDs(r.Value)
+		if err != nil {
+			return err
+		}
+		deployment := strings.TrimPrefix(r.Key, prefix)
+		read[deployment] = old.read(deployment, r.Version, ids, now)
+	}
+	d.notices.Update(func(have notices) (notices, bool) {
+		// A commit of this node may be newer than what the scan returned.
+		for name, row := range have {
+			if row.version > read[name].version {
+				read[name] = row
+			}
+		}
+		return read, true
+	})
+	return nil
+}
+
+// mark sets in the endpoint table which endpoints get no new work.
+func (d *Drainer) mark() {
+	listed := d.notices.Get()
+	listOld := d.List.Old(ListLimit)
+	now := d.Clock.Now()
+	for _, e := range d.Endpoints.Values() {
+		_, draining := listed.since(e.ID)
+		draining = draining || listOld && now.Sub(e.Report.At) > ReportLimit
+		if draining == e.Draining {
+			continue
+		}
+		d.Log.Info().Str("endpoint", e.ID).Bool("draining", draining).Bool("list-old", listOld).Msg("drain changed")
+		d.Endpoints.Update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+			return e.WithDraining(draining), ok
+		})
+	}
+}
+
+// Listed returns the draining endpoints of a deployment, in order.
+func (d *Drainer) Listed(deployment string) []string {
+	return d.notices.Get().ids(deployment)
+}
+
+// Noticed reports whether every node has had time to read that an endpoint drains.
+func (d *Drainer) Noticed(id string) bool {
+	at, ok := d.notices.Get().since(id)
+	return ok && d.Clock.Now().Sub(at) >= NoticeWait
+}
+
+// Begin lists an endpoint as draining.
+func (d *Drainer) Begin(ctx context.Context, g leaser.Grant, deployment, id string) error {
+	return d.change(ctx, g, deployment, func(ids []string) []string {
+		if slices.Contains(ids, id) {
+			return ids
+		}
+		return append(ids, id)
+	})
+}
+
+// End lets an endpoint have new work again.
+func (d *Drainer) End(ctx context.Context, g leaser.Grant, deployment, id string) error {
+	return d.change(ctx, g, deployment, func(ids []string) []string {
+		return slices.DeleteFunc(ids, func(have string) bool { return have == id })
+	})
+}
+
+// change writes the row of a deployment. After a lost answer the next Refresh
+// shows what is in force.
+func (d *Drainer) change(ctx context.Context, g leaser.Grant, deployment string, edit func([]string) []string) error {
+	have := d.notices.Get()
+	before := have.ids(deployment)
+	ids := edit(slices.Clone(before))
+	if slices.Equal(before, ids) {
+		return nil
+	}
+	key := prefix + deployment
+	version, err := d.Table.Commit(ctx, g.Guard(transactor.Tx{}).
+		WithCheck(key, have[deployment].version).
+		WithPut(key, encodeIDs(ids)))
+	if err != nil {
+		return coder.Wrap(coder.Of(err).Code(), err, "draining endpoints of %s not written", deployment)
+	}
+	now := d.Clock.Now()
+	d.notices.Update(func(n notices) (notices, bool) {
+		return n.with(deployment, n.read(deployment, version, ids, now)), n[deployment].version < version
+	})
+	d.mark()
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/drainer/notice.go
@@ -0,0 +1,82 @@
+package drainer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+)
+
+// prefix starts the keys of the rows that list draining endpoints, one row for
+// each deployment.
+const prefix = "drain/"
+
+// notice is the row of one deployment.
+type notice struct {
+	version uint64
+	// since maps each draining endpoint to when this node first saw it listed.
+	since map[string]time.Time
+}
+
+// notices maps deployments to their rows; it is never changed in place.
+type notices map[string]notice
+
+func (n notices) with(deployment string, row notice) notices {
+	changed := maps.Clone(n)
+	if changed == nil {
+		changed = make(notices)
+	}
+	changed[deployment] = row
+	return changed
+}
+
+// read returns the notice for a row that was read or written at the given time.
+func (n notices) read(deployment string, version uint64, ids []string, at time.Time) notice {
+	row := notice{version: version, since: make(map[string]time.Time, len(ids))}
+	for _, id := range ids {
+		row.since[id] = at
+		if before, ok := n[deployment].since[id]; ok {
+			row.since[id] = before
+		}
+	}
+	return row
+}
+
+// since returns when this node first saw that an endpoint drains.
+func (n notices) since(id string) (time.Time, bool) {
+	for _, row := range n {
+		if at, ok := row.since[id]; ok {
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (n notices) ids(deployment string) []string {
+	return slices.Sorted(maps.Keys(n[deployment].since))
+}
+
+func encodeIDs(ids []string) []byte {
+	var e jx.Encoder
+	e.Arr(func(e *jx.Encoder) {
+		for _, id := range ids {
+			e.Str(id)
+		}
+	})
+	return e.Bytes()
+}
+
+func decodeIDs(data []byte) (ids []string, err error) {
+	err = jx.DecodeBytes(data).Arr(func(d *jx.Decoder) error {
+		id, err := d.Str()
+		ids = append(ids, id)
+		return err
+	})
+	if err != nil {
+		return nil, coder.Wrap(coder.Internal, err, "malformed row of draining endpoints")
+	}
+	return ids, nil
+}
--- /dev/null
+++ b/internal/fleet/orderer/fleet.go
@@ -0,0 +1,265 @@
+package orderer
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// arrivalWait is how long endpoints that were ordered may take to arrive
+// before others are ordered in their place.
+const arrivalWait = 10 * time.Minute
+
+// fleetBook is what the holder knows of the platform orders of a deployment.
+//
+// It is an immutable value; the with methods return changed copies.
+type fleetBook struct {
+	// epoch is the takeover after which the rows were read.
+	epoch uint64
+	// stale says that a commit has an unknown effect.
+	stale bool
+	// head is the version of the row that every new order changes. Without it,
+	// a commit that takes effect after it was given up would add an order
+	// beside the one made in its place.
+	head uint64
+	rows map[string]fleetRecord
+}
+
+func (f fleetBook) with(r fleetRecord) fleetBook {
+	f.rows = maps.Clone(f.rows)
+	f.rows[r.order.ID] = r
+	return f
+}
+
+func (f fleetBook) without(id string) fleetBook {
+	f.rows = maps.Clone(f.rows)
+	delete(f.rows, id)
+	return f
+}
+
+// open returns the orders that are not finished, in the order of their names.
+func (f fleetBook) open() []fleetRecord {
+	var open []fleetRecord
+	for _, id := range slices.Sorted(maps.Keys(f.rows)) {
+		open = append(open, f.rows[id])
+	}
+	return open
+}
+
+func fleetKey(r fleetRecord) string {
+	return fleetPrefix + r.order.Deployment + "/" + r.order.ID
+}
+
+func (o *Orderer) loadFleet(ctx context.Context, g leaser.Grant, deployment string) (fleetBook, error) {
+	f := fleetBook{epoch: g.Epoch, rows: make(map[string]fleetRecord)}
+	rows, err := transactor.ScanAll(ctx, o.Table, fleetPrefix+deployment+"/")
+	if err != nil {
+		return f, err
+	}
+	for _, r := range rows {
+		record, err := decodeFleet(r.Value)
+		if err != nil {
+			return f, err
+		}
+		record.version, record.seen = r.Version, o.Clock.Now()
+		f.rows[record.order.ID] = record
+	}
+	head, err := o.Table.Get(ctx, headPrefix+deployment)
+	if err != nil && !coder.Is(err, coder.RowUnknown) {
+		return f, err
+	}
+	f.head = head.Version
+	return f, nil
+}
+
+// orderEndpoints finishes recorded platform orders and places new ones; it
+// returns the endpoints that are or will be given back.
+func (o *Orderer) orderEndpoints(ctx context.Context, p placement, looks []looked) []string {
+	f, _ := o.fleets.Get(p.deployment.Name)
+	var failure error
+	for _, r := range f.open() {
+		if err := o.finish(ctx, p, r); err != nil {
+			failure = err
+		}
+	}
+	f, _ = o.fleets.Get(p.deployment.Name)
+	plan := planFleet(p, looks, f.open(), o.Policy.Counts(p.deployment, p.endpoints))
+	for _, id := range plan.reserved {
+		if p.has(id) && !slices.Contains(p.draining, id) && failure == nil {
+			failure = o.Drains.Begin(ctx, p.grant, p.deployment.Name, id)
+		}
+	}
+	if plan.ok && failure == nil && !f.stale {
+		failure = o.orderNew(ctx, p, f, plan)
+	}
+	if failure != nil {
+		o.Log.Warn().Str("deployment", p.deployment.Name).Err(failure).Msg("platform orders not finished")
+	}
+	return plan.reserved
+}
+
+// finish brings a recorded platform order one step further.
+func (o *Orderer) finish(ctx context.Context, p placement, r fleetRecord) error {
+	key := fleetKey(r)
+	if r.done {
+		if !arrived(p.endpoints, r) && o.Clock.Now().Sub(r.seen) < arrivalWait {
+			return nil
+		}
+		_, err := o.commit(ctx, p, transactor.Tx{}.WithCheck(key, r.version).WithDelete(key))
+		if err == nil {
+			o.changeFleet(p, func(f fleetBook) fleetBook { return f.without(r.order.ID) })
+		}
+		return err
+	}
+	received, err := o.Fleet(p.grant).Ordered(ctx, r.order.ID)
+	if err != nil {
+		return err
+	}
+	if !received {
+		return o.sendFleet(ctx, p, r)
+	}
+	r.done, r.seen = true, o.Clock.Now()
+	r.version, err = o.commit(ctx, p, transactor.Tx{}.WithCheck(key, r.version).WithPut(key, encodeFleet(r)))
+	if err == nil {
+		o.changeFleet(p, func(f fleetBook) fleetBook { return f.with(r) })
+	}
+	return err
+}
+
+// sendFleet sends a recorded order; the next look reads back whether it arrived.
+func (o *Orderer) sendFleet(ctx context.Context, p placement, r fleetRecord) error {
+	if p.grant.Token > 1 && o.Clock.Now().Sub(p.grant.Taken) < o.PlatformLimit {
+		return nil
+	}
+	order := r.order
+	order.FencingToken = p.grant.Token
+	err := o.Fleet(p.grant).Order(ctx, order)
+	o.Log.Info().Str("deployment", p.deployment.Name).Str("order", order.ID).Uint64("fencing-token", order.FencingToken).
+		Int("add", order.Add).Strs("withdraw", order.Withdraw).AnErr("failure", err).Msg("platform order sent")
+	return err
+}
+
+func (o *Orderer) changeFleet(p placement, change func(fleetBook) fleetBook) {
+	o.fleets.Update(p.deployment.Name, func(f fleetBook, ok bool) (fleetBook, bool) { return change(f), ok })
+}
+
+// orderNew records a new platform order and sends it.
+func (o *Orderer) orderNew(ctx context.Context, p placement, f fleetBook, plan fleetPlan) error {
+	r := fleetRecord{order: plan.order, expect: plan.expect}
+	r.order.ID, r.order.FencingToken, r.order.Deployment = o.newID(), p.grant.Token, p.deployment.Name
+	key, head := fleetKey(r), headPrefix+p.deployment.Name
+	version, err := o.commit(ctx, p, transactor.Tx{}.
+		WithAbsent(key).
+		WithCheck(head, f.head).
+		WithPut(key, encodeFleet(r)).
+		WithPut(head, []byte(r.order.ID)))
+	o.Log.Info().Str("decision", "fleet").Str("deployment", p.deployment.Name).Str("order", r.order.ID).
+		Str("data-centre", r.order.DataCentre).Str("tier", string(r.order.Tier)).Int("add", r.order.Add).
+		Strs("withdraw", r.order.Withdraw).AnErr("failure", err).Msg("endpoints")
+	if err != nil {
+		return err
+	}
+	r.version = version
+	o.changeFleet(p, func(f fleetBook) fleetBook {
+		f = f.with(r)
+		f.head = version
+		return f
+	})
+	return o.sendFleet(ctx, p, r)
+}
+
+// fleetPlan is the next platform order, if ok, and the endpoints that are
+// given back sooner or later and get no new work.
+type fleetPlan struct {
+	order    transactor.EndpointOrder
+	expect   int
+	ok       bool
+	reserved []string
+}
+
+// planFleet decides on the next platform order. There is at most one open
+// order for a data centre and tier, so that endpoints under way are not
+// ordered twice.
+func planFleet(p placement, looks []looked, open []fleetRecord, counts []Count) fleetPlan {
+	var plan fleetPlan
+	busy := make(map[Count]bool)
+	for _, r := range open {
+		busy[Count{DataCentre: r.order.DataCentre, Tier: r.order.Tier}] = true
+		plan.reserved = append(plan.reserved, r.order.Withdraw...)
+	}
+	propose := func(c Count, add, expect int, withdraw []string) {
+		if busy[Count{DataCentre: c.DataCentre, Tier: c.Tier}] || plan.ok {
+			return
+		}
+		plan.ok, plan.expect = true, expect
+		plan.order = transactor.EndpointOrder{DataCentre: c.DataCentre, Tier: c.Tier, Add: add, Withdraw: withdraw}
+	}
+	for _, l := range looks {
+		e := l.endpoint
+		if !l.book.replacing || slices.Contains(plan.reserved, e.ID) {
+			continue
+		}
+		plan.reserved = append(plan.reserved, e.ID)
+		if l.drained {
+			c := Count{DataCentre: e.DataCentre, Tier: e.Tier}
+			propose(c, 1, len(in(p.endpoints, e.DataCentre, e.Tier)), []string{e.ID})
+		}
+	}
+	for _, c := range counts {
+		have := in(p.endpoints, c.DataCentre, c.Tier)
+		switch {
+		case len(have) < c.Want:
+			propose(c, c.Want-len(have), c.Want, nil)
+		case len(have) > c.Want && !busy[Count{DataCentre: c.DataCentre, Tier: c.Tier}]:
+			ids, all := surplus(looks, have, len(have)-c.Want, plan.reserved)
+			plan.reserved = append(plan.reserved, ids...)
+			if all && len(ids) > 0 {
+				propose(c, 0, c.Want, ids)
+			}
+		}
+	}
+	return plan
+}
+
+// surplus returns the n endpoints to give back, those that drain already and
+// those with the least work first, and whether all are drained.
+func surplus(looks []looked, have []picker.Endpoint, n int, reserved []string) (ids []string, drained bool) {
+	var candidates []looked
+	for _, l := range looks {
+		listed := slices.ContainsFunc(have, func(e picker.Endpoint) bool { return e.ID == l.endpoint.ID })
+		if listed && !slices.Contains(reserved, l.endpoint.ID) {
+			candidates = append(candidates, l)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b looked) int {
+		if a.draining != b.draining {
+			if a.draining {
+				return -1
+			}
+			return 1
+		}
+		return a.endpoint.Report.InFlight - b.endpoint.Report.InFlight
+	})
+	drained = true
+	for _, l := range candidates[:min(n, len(candidates))] {
+		ids = append(ids, l.endpoint.ID)
+		drained = drained && l.drained
+	}
+	return ids, drained
+}
+
+// arrived reports whether the platform's list shows the effect of an order.
+func arrived(endpoints []picker.Endpoint, r fleetRecord) bool {
+	for _, e := range endpoints {
+		if slices.Contains(r.order.Withdraw, e.ID) && !e.Leaving {
+			return false
+		}
+	}
+	return r.order.Add == 0 || len(in(endpoints, r.order.DataCentre, r.order.Tier)) >= r.expect
+}
--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -170,6 +170,7 @@
 			PeersListen:     "127.0.0.1:0",
 			Platform:        w.base,
 			PlatformTimeout: 2 * time.Second,
+			PlatformLimit:   connectionLimit,
 			OperatorHash:    authenticator.Hash(w.plan.OperatorSecret),
 			Workers:         256,
 			ConnectWait:     500 * time.Millisecond,
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -35,6 +35,8 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":   cmdAwait,
 			"expand":  cmdExpand,
+			"holder":  cmdHolder,
+			"judge":   cmdJudge,
 			"port":    cmdPort,
 			"request": cmdRequest,
 			"signal":  cmdSignal,
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -40,6 +40,7 @@
 	clock    timekeeper.Clock
 	log      zerolog.Logger
 
+	authority
 	platform   connector.Client
 	applier    *applier.Applier
 	observer   *observer.Observer
@@ -68,7 +69,7 @@
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.platform = platform
-	builds := []func() error{n.buildDecisions, n.buildRequests, n.buildMembership, n.buildAuthority}
+	builds := []func() error{n.buildAuthority, n.buildDecisions, n.buildRequests, n.buildMembership}
 	for _, build := range builds {
 		if err := build(); err != nil {
 			return nil, err
--- a/internal/node/configurer/settings.go
+++ b/internal/node/configurer/settings.go
@@ -38,6 +38,9 @@
 	// Platform is the base address of the platform, http://IP:port.
 	Platform        string
 	PlatformTimeout time.Duration
+	// PlatformLimit is how long the platform keeps a connection open on which
+	// no whole request arrives.
+	PlatformLimit time.Duration
 	// OperatorHash is the SHA-256 of the operators' credential.
 	OperatorHash [32]byte
 	// Workers is the number of requests in work at once.
@@ -58,7 +61,7 @@
 	"callers":   {"listen"},
 	"operators": {"listen", "credential-hash"},
 	"peers":     {"listen", "advertise", "source-address", "addresses"},
-	"platform":  {"address", "timeout"},
+	"platform":  {"address", "timeout", "order-connection-limit"},
 }
 
 // Load reads settings from a file's content; name stands in errors.
@@ -85,6 +88,7 @@
 		SourceAddress:   r.text("peers", "source-address", ""),
 		Platform:        strings.TrimSuffix(r.required("platform", "address"), "/"),
 		PlatformTimeout: r.duration("platform", "timeout", 2*time.Second),
+		PlatformLimit:   r.duration("platform", "order-connection-limit", 5*time.Second),
 		OperatorHash:    r.hash("operators", "credential-hash"),
 	}
 	s.PeersAdvertise = r.text("peers", "advertise", s.PeersListen)
