--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -27,7 +27,6 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/front/receiver"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
-	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
@@ -49,6 +48,7 @@
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
 	claims     *claimer.Claimer
+	membership membership
 	stopping   atomic.Bool
 
 	callers   net.Listener
@@ -71,7 +71,7 @@
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.platform = platform
-	builds := []func() error{n.buildAuthority, n.buildDecisions, n.buildRequests, n.buildMembership}
+	builds := []func() error{n.buildMembership, n.buildAuthority, n.buildDecisions, n.buildRequests}
 	for _, build := range builds {
 		if err := build(); err != nil {
 			return nil, err
@@ -84,6 +84,7 @@
 	if n.operators, err = listen(s.OperatorsListen); err != nil {
 		return nil, err
 	}
+	n.membership.gossiper.Self.OperatorsAddress = n.OperatorsAddress()
 	return n, nil
 }
 
@@ -128,6 +129,7 @@
 	callers, operators := n.callersServer(), n.operatorsServer()
 	wg.Go(func() { n.serve(callers, n.callers) })
 	wg.Go(func() { n.serve(operators, n.operators) })
+	wg.Go(n.servePeers)
 	n.log.Info().Str("callers", n.CallersAddress()).Str("data-centre", n.settings.DataCentre).Msg("node started")
 	<-ctx.Done()
 	n.stop(callers)
@@ -146,8 +148,7 @@
 }
 
 func (n *Node) operatorsServer() *http.Server {
-	c := commander.Commander{Log: n.log, Applier: n.applier, CredentialHash: n.settings.OperatorHash}
-	return &http.Server{Handler: c.Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
+	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
 }
 
 func (n *Node) callersServer() *http.Server {
@@ -172,6 +173,7 @@
 // stop ends the callers' interface once what runs is finished.
 func (n *Node) stop(server *http.Server) {
 	n.stopping.Store(true)
+	n.membership.gossiper.Drain()
 	n.log.Info().Msg("node drains")
 	// Until the balancer has seen that the node is not ready, it still sends
 	// requests here, and they are served.
