node: link membership, duties and admission

Duties spread over the nodes that gossip shows as running; the status lists the duties held; the admission takes the other nodes' work from gossip and states its own.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -77,6 +77,7 @@
 			return nil, err
 		}
 	}
+	n.link()
 	var err error
 	if n.callers, err = listen(s.CallersListen); err != nil {
 		return nil, err
