--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -22,6 +22,8 @@
 	SlowCaller      Code = 106
 	MethodNotServed Code = 107
 	CallerGone      Code = 108
+	CommandUsage    Code = 109
+	DecisionUnknown Code = 110
 
 	KeyMissing         Code = 201
 	KeyUnknown         Code = 202
@@ -69,11 +71,12 @@
 	OrderPending  Code = 703
 	OrderConflict Code = 704
 
-	ClaimInProgress   Code = 801
-	ClaimOtherBody    Code = 802
-	ClaimOutcomeLost  Code = 803
-	ClaimUnavailable  Code = 804
-	ClaimKeyMalformed Code = 805
+	ClaimInProgress    Code = 801
+	ClaimOtherBody     Code = 802
+	ClaimOutcomeLost   Code = 803
+	ClaimUnavailable   Code = 804
+	ClaimKeyMalformed  Code = 805
+	ClaimAnswerNotKept Code = 806
 
 	Internal       Code = 901
 	SettingsBad    Code = 902
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -79,12 +79,14 @@
 		return http.StatusGatewayTimeout
 	case coder.EndpointUnreachable, coder.EndpointFailed, coder.AnswerCut, coder.AnswerCrossed, coder.EndpointRefused:
 		return http.StatusBadGateway
-	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ConfigConflict:
+	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ClaimAnswerNotKept, coder.ConfigConflict:
 		return http.StatusConflict
 	case coder.ClaimOtherBody:
 		return http.StatusUnprocessableEntity
 	case coder.ConfigNotInForce:
 		return http.StatusAccepted
+	case coder.ClaimUnavailable:
+		return http.StatusServiceUnavailable
 	case coder.Internal:
 		return http.StatusInternalServerError
 	}
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,13 +36,19 @@
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":   cmdAwait,
+			"body":    cmdBody,
+			"exits":   cmdExits,
 			"expand":  cmdExpand,
+			"holder":  cmdHolder,
+			"judge":   cmdJudge,
 			"port":    cmdPort,
 			"request": cmdRequest,
 			"signal":  cmdSignal,
 			"start":   cmdStart,
 		},
 		Setup: func(env *testscript.Env) error {
+			// The race detector otherwise waits a second at the end of each program.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
 			env.Values[processesKey{}] = &processes{byName: make(map[string]*process)}
 			return nil
 		},
@@ -96,6 +104,18 @@
 	}
 }
 
+// cmdExits runs a program that must end with the given exit code, and keeps its
+// output for stdout and stderr: exits CODE PROGRAM ARGS...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != want {
+		ts.Fatalf("the exit code is not %d: %v", want, err)
+	}
+}
+
 // cmdStart starts a program under a name: start NAME PROGRAM ARGS...
 //
 // Its output goes to the file NAME.log when the script ends.
@@ -156,21 +176,59 @@
 }
 
 // cmdRequest sends one request and writes status, header and body to a file:
-// request FILE METHOD URL [BODY [HEADER: VALUE]...]; a BODY of @NAME is read
-// from a file of the script.
+// request [-background] [-from IP] [-timeout DURATION] FILE METHOD URL [BODY [HEADER: VALUE]...];
+// a BODY of @NAME is read from a file of the script. With a leading ! the
+// request must get no whole answer; in the background, whatever comes is kept.
 func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	var s sender
+	background := false
+	for len(args) > 2 && strings.HasPrefix(args[0], "-") {
+		switch args[0] {
+		case "-background":
+			background = true
+			args = args[1:]
+			continue
+		case "-from":
+			s.from = args[1]
+		case "-timeout":
+			d, err := time.ParseDuration(args[1])
+			ts.Check(err)
+			s.timeout = d
+		default:
+			ts.Fatalf("request: there is no option %s", args[0])
+		}
+		args = args[2:]
+	}
 	if len(args) > 3 {
 		if name, ok := strings.CutPrefix(args[3], "@"); ok {
 			args[3] = ts.ReadFile(name)
 		}
 	}
-	text, err := send(args[1:])
-	if err != nil && !neg {
-		ts.Fatalf("request: %v", err)
+	if background {
+		done := make(chan struct{})
+		name := ts.MkAbs(args[0])
+		go func() {
+			defer close(done)
+			text, _ := s.send(args[1:])
+			_ = os.WriteFile(name, []byte(text), 0o600)
+		}()
+		ts.Defer(func() { <-done })
+		return
+	}
+	text, err := s.send(args[1:])
+	if (err != nil) != neg {
+		ts.Fatalf("request: error %v, answer %q", err, text)
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
+// cmdBody writes the body of an answer to a file: body ANSWER FILE.
+func cmdBody(ts *testscript.TestScript, _ bool, args []string) {
+	_, body, _ := strings.Cut(ts.ReadFile(args[0]), "\n\n")
+	body = strings.TrimPrefix(body, "\r\n")
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(body), 0o600))
+}
+
 // cmdAwait repeats a request until the answer contains a text:
 // await DURATION TEXT METHOD URL [BODY [HEADER: VALUE]...].
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
@@ -185,7 +243,28 @@
 	ts.Fatalf("no %q within %v; the last answer was %q, error %v", args[1], limit, text, err)
 }
 
-func send(args []string) (string, error) {
+// sender sends requests.
+type sender struct {
+	// from is the local IP address; empty means any.
+	from string
+	// timeout bounds one request; 0 means 20 s.
+	timeout time.Duration
+}
+
+func send(args []string) (string, error) { return sender{}.send(args) }
+
+func (s sender) client() http.Client {
+	if s.timeout == 0 {
+		s.timeout = 20 * time.Second
+	}
+	d := &net.Dialer{}
+	if s.from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(s.from)}
+	}
+	return http.Client{Timeout: s.timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
+}
+
+func (s sender) send(args []string) (string, error) {
 	var body io.Reader
 	if len(args) > 2 {
 		body = strings.NewReader(args[2])
@@ -198,7 +277,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := s.client()
 	resp, err := client.Do(req)
 	if err != nil {
 		return "", err
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -29,6 +29,7 @@
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
+	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
@@ -39,12 +40,14 @@
 	clock    timekeeper.Clock
 	log      zerolog.Logger
 
+	authority
 	platform   connector.Client
 	applier    *applier.Applier
 	observer   *observer.Observer
 	queue      *queuer.Queue[*dispatcher.Job]
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
+	claims     *claimer.Claimer
 	membership membership
 	stopping   atomic.Bool
 
@@ -68,12 +71,13 @@
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.platform = platform
-	builds := []func() error{n.buildMembership, n.buildDecisions, n.buildRequests, n.buildAuthority}
+	builds := []func() error{n.buildMembership, n.buildAuthority, n.buildDecisions, n.buildRequests}
 	for _, build := range builds {
 		if err := build(); err != nil {
 			return nil, err
 		}
 	}
+	n.link()
 	var err error
 	if n.callers, err = listen(s.CallersListen); err != nil {
 		return nil, err
