config: a node serves keys once the others count it

A change was answered as in force before the nodes that had just started knew of each other: the roster was empty and no peer known, so nobody was waited for. A node that was removed from the roster while it was paused could be missed in the same way.

A change is in force at once only after the roster was read behind the commit, and peers that appear meanwhile are told as well. The first members join as soon as the configuration is loaded.

--- a/internal/config/applier/accept.go
+++ b/internal/config/applier/accept.go
@@ -100,17 +100,27 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	for _, s := range a.statements() {
-		wg.Go(func() { a.announce(ctx, s, c, cell) })
-	}
-	// Without the store the roster in use serves: the answers tell of a newer one.
-	if r, _, err := a.readRoster(ctx); err == nil {
-		a.install(r)
-	}
+	told := make(map[string]bool)
+	read := false
 	for {
+		stated := a.statements()
+		for _, s := range stated {
+			if m := s.Member(); !told[m] {
+				told[m] = true
+				wg.Go(func() { a.announce(ctx, s, c, cell) })
+			}
+		}
+		// A node that is not in the roster as it stands after the commit has
+		// joined later, and then with this change. Without the store the roster in
+		// use serves for the majority, since the answers tell of a newer one.
+		if !read {
+			if r, _, err := a.readRoster(ctx); err == nil {
+				a.install(r)
+				read = a.roster.Get().Version() >= r.Version()
+			}
+		}
 		now := a.Clock.Now()
 		r := a.roster.Get()
-		stated := a.statements()
 		cell.Update(func(p progress) (progress, bool) {
 			return p.WithStatements(c.Version, stated).WithMajority(r, now), true
 		})
@@ -121,7 +131,7 @@
 		}
 		missing := p.missing(r)
 		switch {
-		case p.everywhere(r, a.running()):
+		case read && p.everywhere(r, a.running()):
 			return Acceptance{Version: c.Version, InForce: true}
 		case !now.Before(until):
 			return Acceptance{Version: c.Version, InForce: !p.majority.IsZero(), Missing: missing}
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -11,8 +11,8 @@
 // the roster. The majority holds no state and orders nothing; the store alone
 // decides which change comes next.
 //
-// A change is in force once no node can answer by an older version: every node
-// has applied it, or a majority of the roster has and FreshFor has passed
+// A change is in force once no node can answer by an older version: every member
+// of the roster and every other running node has applied it, or a majority of the roster has and FreshFor has passed
 // since, so that a node that was not reached has no evidence left. Majorities
 // intersect, so such a node cannot find new evidence for an older version.
 package applier
@@ -49,13 +49,19 @@
 	Loaded bool
 	// Evidence is the last moment at which no newer version was known to exist.
 	Evidence time.Time
+	// Since is when the evidence began without a gap.
+	Since time.Time
 }
 
 // WithEvidence returns a copy whose version was known to be the newest at t.
 func (v View) WithEvidence(t time.Time) View {
-	if t.After(v.Evidence) {
-		v.Evidence = t
+	if !t.After(v.Evidence) {
+		return v
 	}
+	if t.Sub(v.Evidence) > FreshFor {
+		v.Since = t
+	}
+	v.Evidence = t
 	return v
 }
 
@@ -130,7 +136,19 @@
 	if a.Clock.Now().Sub(v.Evidence) > FreshFor {
 		return coder.Refuse(coder.ViewNotCurrent, "the node cannot tell whether its configuration is current").WithRetryAfter(time.Second)
 	}
-	return nil
+	return a.Counted()
+}
+
+// Counted fails with ViewNotCurrent while other nodes may not know that this
+// one runs, and would not wait for it when they accept a change.
+//
+// A member of the roster is known. A node that cannot become one, since a
+// majority is lost, is known from gossip after a while.
+func (a *Applier) Counted() error {
+	if a.Peers == nil || a.roster.Get().Has(a.Self) || a.Clock.Now().Sub(a.cell.Get().Since) > FreshFor+margin {
+		return nil
+	}
+	return coder.Refuse(coder.ViewNotCurrent, "the other nodes do not know yet that this one runs").WithRetryAfter(time.Second)
 }
 
 // StoreReachable reports whether the last read of the head succeeded.
@@ -180,6 +198,14 @@
 			return err
 		}
 	}
+	if a.Peers != nil && began.Sub(a.View().Evidence) > FreshFor {
+		// After a gap this node may have been taken for lost and removed.
+		r, _, err := a.readRoster(ctx)
+		if err != nil {
+			return err
+		}
+		a.install(r)
+	}
 	a.cell.Update(func(v View) (View, bool) {
 		return v.WithEvidence(began), v.Version() >= version
 	})
@@ -212,7 +238,7 @@
 		if v.Loaded && v.Version() >= files.Version() {
 			return v, false
 		}
-		return View{Result: result, Files: files, Loaded: true, Evidence: v.Evidence}, true
+		return View{Result: result, Files: files, Loaded: true, Evidence: v.Evidence, Since: v.Since}, true
 	})
 	return nil
 }
--- a/internal/config/applier/evidence.go
+++ b/internal/config/applier/evidence.go
@@ -8,14 +8,14 @@
 )
 
 // peerEvidence returns the newest moment at which a peer knew that no version
-// above the given one existed.
+// above the given one existed; peers that use a newer roster do not count.
 //
 // The statements' ages count back from now, which is read before they are, so
 // that no evidence seems younger than it is.
-func peerEvidence(now time.Time, version uint64, statements []messenger.State) time.Time {
+func peerEvidence(now time.Time, version uint64, r Roster, statements []messenger.State) time.Time {
 	var newest time.Time
 	for _, s := range statements {
-		if !s.HasEvidence || s.ConfigVersion > version {
+		if !s.HasEvidence || s.ConfigVersion > version || s.RosterVersion > r.Version() {
 			continue
 		}
 		if t := now.Add(-s.EvidenceAge); t.After(newest) {
--- a/internal/config/applier/peers.go
+++ b/internal/config/applier/peers.go
@@ -93,7 +93,7 @@
 	statements = append(statements, a.State(messenger.State{ID: NodeOf(a.Self), Incarnation: incarnationOf(a.Self)}))
 	r, down := a.roster.Get(), !a.StoreReachable()
 	a.cell.Update(func(v View) (View, bool) {
-		next := v.WithEvidence(peerEvidence(now, v.Version(), statements))
+		next := v.WithEvidence(peerEvidence(now, v.Version(), r, statements))
 		if down {
 			next = next.WithEvidence(majorityEvidence(now, v.Version(), r, statements))
 		}
--- a/internal/config/applier/roster.go
+++ b/internal/config/applier/roster.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// JoinOnceLoaded is Join as soon as the configuration is there, so that a
+// starting node serves without delay.
+func (a *Applier) JoinOnceLoaded(ctx context.Context) error {
+	for {
+		v, changed := a.cell.Changed()
+		if v.Loaded {
+			return a.Join(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // checkRoster reads the roster when it is time to.
 func (a *Applier) checkRoster(ctx context.Context) error {
 	now, due := a.Clock.Now(), false
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -35,6 +35,7 @@
 	root.AddCommand(demoCommand())
 	root.AddCommand(standInCommands()...)
 	root.AddCommand(relayCommand())
+	root.AddCommand(membershipCommands()...)
 	return root
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -108,8 +108,10 @@
 	if n.stopping.Load() {
 		return coder.Refuse(coder.ShuttingDown, "the node is shutting down").WithRetryAfter(time.Second)
 	}
-	_, err := n.applier.Config()
-	return err
+	if _, err := n.applier.Config(); err != nil {
+		return err
+	}
+	return n.applier.Counted()
 }
 
 // Run serves until ctx is done, then finishes what runs and returns.
--- a/internal/node/assembler/membership.go
+++ b/internal/node/assembler/membership.go
@@ -89,7 +89,7 @@
 	return []runner.Periodic{
 		{Name: "configuration", Every: headEvery, Jitter: jitter, Task: n.applier.Follow},
 		{Name: "gossip", Every: gossipEvery, Jitter: jitter, Task: n.gossip},
-		{Name: "roster", Every: rosterEvery, Jitter: jitter, Task: n.applier.Join},
+		{Name: "roster", Every: rosterEvery, Jitter: jitter, Task: n.applier.JoinOnceLoaded},
 		{Name: "node-row", Every: gossiper.RefreshEvery, Jitter: jitter, Task: rows.Refresh},
 		{Name: "node-rows", Every: gossipEvery, Jitter: jitter, Task: rows.Scan},
 	}
