lab: ports of scripts outside the ephemeral range

One run of holder-killed failed with connection refused at a node that had answered as ready before: a port that was free when chosen was taken by an outgoing connection of another script, and the check for readiness met that script's node. Ports now lie below the kernel's range for outgoing connections, in one block for each test process.

--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"errors"
 	"io"
 	"net"
@@ -10,8 +11,10 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -84,15 +87,39 @@
 	return b.b.String()
 }
 
+// The ports of scripts lie below the range from which the kernel takes ports of
+// outgoing connections: a port of that range can be taken between its choice
+// and the start of the program that is to listen there. Each test process
+// begins in a block of its own.
+const (
+	firstPort  = 10_000
+	portBlocks = 100
+	blockSize  = 200
+	lastPort   = 32_000
+)
+
+var nextPort atomic.Int64
+
+func freePort(ts *testscript.TestScript) string {
+	start := int64(firstPort + os.Getpid()%portBlocks*blockSize)
+	for {
+		port := start + nextPort.Add(1)
+		if port > lastPort {
+			ts.Fatalf("no free port below %d", lastPort)
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		ts.Check(l.Close())
+		return strconv.FormatInt(port, 10)
+	}
+}
+
 // cmdPort sets each named variable to a free loopback port.
 func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		_, port, err := net.SplitHostPort(l.Addr().String())
-		ts.Check(err)
-		ts.Check(l.Close())
-		ts.Setenv(name, port)
+		ts.Setenv(name, freePort(ts))
 	}
 }
 
