--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
