--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -30,7 +30,6 @@
 	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
-	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
@@ -47,8 +46,8 @@
 	queue      *queuer.Queue[*dispatcher.Job]
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
-	claims     *claimer.Claimer
 	stopping   atomic.Bool
+	requestParts
 
 	callers   net.Listener
 	operators net.Listener
--- a/internal/node/assembler/requests.go
+++ b/internal/node/assembler/requests.go
@@ -3,23 +3,54 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/inner/messenger"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
 	"foxtailflow.example/foxtailflow/internal/request/retrier"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
+	"foxtailflow.example/foxtailflow/internal/usage/reporter"
+	"foxtailflow.example/foxtailflow/internal/usage/sealer"
 )
 
 const (
 	settleEvery = 2 * time.Second
 	purgeEvery  = time.Minute
+	// copyEvery with its jitter keeps the age of usage without a copy under 1 s.
+	copyEvery    = 600 * time.Millisecond
+	sealEvery    = 10 * time.Second
+	orphansEvery = 5 * time.Second
+	reportEvery  = time.Second
+	marksEvery   = time.Hour
+	// keepWait bounds the time until the next peer is tried.
+	keepWait = 300 * time.Millisecond
 )
 
+// requestParts are the parts of a node that answer requests and count usage.
+type requestParts struct {
+	claims   *claimer.Claimer
+	usage    *counter.Counter
+	copies   *sealer.Copies
+	reporter *reporter.Reporter
+	// peers names the live peers, leases the duties of this node; the parts
+	// that know them set them before the node runs.
+	peers  func() []sealer.Peer
+	leases leaser.Holder
+	// marksAfter is the key after which the purge of seals goes on.
+	marksAfter keeper.Cell[string]
+}
+
 // buildRequests builds what answers requests and counts their usage.
 func (n *Node) buildRequests() error {
 	n.claims = claimer.New(n.clock, n.log, n.platform, n.settings.ID)
@@ -35,9 +66,84 @@
 		Random:    rand.Float64,
 		Budgets:   keeper.Table[dispatcher.Payer, retrier.Bucket]{Rank: keeper.RankAttempts},
 	}
+	n.buildUsage()
+	n.dispatcher.Usage = n.usage
 	return nil
 }
 
+// buildUsage builds what seals and reports usage.
+func (n *Node) buildUsage() {
+	n.usage = &counter.Counter{}
+	n.copies = &sealer.Copies{
+		Sealer: &sealer.Sealer{Clock: n.clock, Table: n.platform, Groups: n.usageGroups},
+		// The pieces of each start are counted from 1.
+		Node:    n.settings.ID + "." + identifier.Node(),
+		Counter: n.usage,
+		Sender:  &messenger.Peers{SourceAddress: n.settings.SourceAddress, Timeout: keepWait},
+		Live: func() []sealer.Peer {
+			if n.peers == nil {
+				return nil
+			}
+			return n.peers()
+		},
+	}
+	n.reporter = &reporter.Reporter{
+		Clock:   n.clock,
+		Log:     n.log,
+		Table:   n.platform,
+		Reports: n.fencedReports,
+		Groups:  n.usageGroups,
+		Window:  func() time.Duration { return n.limits().UsageWindow },
+	}
+}
+
+// fencedReports returns the receiver of reports over connections on which the
+// lease is checked after the dial; each carries one request.
+func (n *Node) fencedReports(g leaser.Grant) transactor.Reports {
+	dialer := &net.Dialer{Timeout: n.settings.ConnectWait}
+	return n.platform.WithTransport(&http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			if err := n.leases.Check(g); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+			return c, nil
+		},
+	})
+}
+
+func (n *Node) limits() definer.Limits {
+	if cfg, err := n.applier.Config(); err == nil {
+		return cfg.Limits()
+	}
+	return definer.DefaultLimits()
+}
+
+func (n *Node) usageGroups() int { return n.limits().UsageGroups }
+
+// KeepUsage keeps a copy of a peer's usage; the peers' interface calls it.
+func (n *Node) KeepUsage(_ context.Context, u messenger.UsageCopy) error { return n.copies.Keep(u) }
+
+// report makes one pass over the groups whose duty this node has.
+func (n *Node) report(ctx context.Context) error {
+	if n.leases == nil {
+		return nil
+	}
+	n.reporter.Leases = n.leases
+	return n.reporter.Run(ctx)
+}
+
+func (n *Node) purgeMarks(ctx context.Context) error {
+	next, err := n.copies.Sealer.Purge(ctx, n.marksAfter.Get())
+	n.marksAfter.Update(func(string) (string, bool) { return next, err == nil })
+	return err
+}
+
 func (n *Node) requestTasks() []runner.Periodic {
 	return []runner.Periodic{
 		{Name: "claims", Every: settleEvery, Task: func(ctx context.Context) error {
@@ -46,10 +152,22 @@
 		}},
 		{Name: "claims-unsettled", Every: settleEvery, Jitter: jitter, Task: n.claims.Settle},
 		{Name: "claims-expired", Every: purgeEvery, Jitter: jitter, Task: n.claims.Purge},
+		{Name: "usage-copies", Every: copyEvery, Jitter: jitter, Task: n.copies.Send},
+		{Name: "usage-seal", Every: sealEvery, Jitter: jitter, Task: n.copies.SealOwn},
+		{Name: "usage-orphans", Every: orphansEvery, Jitter: jitter, Task: n.copies.SealOrphans},
+		{Name: "usage-report", Every: reportEvery, Jitter: jitter, Task: n.report},
+		{Name: "usage-marks", Every: marksEvery, Jitter: jitter, Task: n.purgeMarks},
 	}
 }
 
 // stopRequests leaves the claims and the usage of this node with the store.
 func (n *Node) stopRequests(ctx context.Context) {
 	n.claims.Flush(ctx)
+	if err := n.copies.SealOwn(ctx); err != nil {
+		// The store is down: a peer that has the pieces seals them later.
+		n.log.Warn().Err(err).Msg("usage was not sealed at the stop")
+		if err := n.copies.Send(ctx); err != nil {
+			n.log.Error().Err(err).Msg("usage was left with no peer")
+		}
+	}
 }
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -132,6 +132,9 @@
 	Begun bool
 	// Status is the status of the answer, 0 if none was begun.
 	Status int
+	// Whole says that the endpoint gave its whole answer, also when the caller
+	// did not stay for it.
+	Whole bool
 	// Replayed says that the answer is the recorded one of a former request.
 	Replayed bool
 	// Endpoint is where the answer came from.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -103,6 +103,7 @@
 	if rep.Usage.Reported {
 		c.result.Usage = rep.Usage
 	}
+	c.result.Whole = rep.Attempt.Whole()
 	c.result.Err = d.failure(c)
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"expvar"
+	"net/http"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
@@ -18,6 +19,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
@@ -66,6 +68,12 @@
 	Release(ctx context.Context, h claimer.Held)
 }
 
+// Usage counts what answers have used.
+type Usage interface {
+	// Count adds the figures of one answer.
+	Count(f transactor.Figures)
+}
+
 // Engines tells engines what a request no longer needs.
 type Engines interface {
 	// Cancel tells the engine at address to stop working on a request.
@@ -103,6 +111,7 @@
 	Forwarder forwarder.Forwarder
 	Queue     Queue
 	Claims    Claims
+	Usage     Usage
 	Engines   Engines
 	// Random returns a random number in [0, 1).
 	Random func() float64
@@ -141,6 +150,7 @@
 func (d *Dispatcher) Handle(ctx context.Context, job *Job) {
 	result := d.answer(job)
 	count(result)
+	d.count(job.request, result)
 	d.Queue.Done(job, result)
 	job.done <- result
 	d.cancelLeft(ctx, job)
@@ -157,6 +167,31 @@
 	}
 }
 
+// count counts the usage of a request, once, by what the endpoint reported.
+//
+// An answer without figures of an engine uses nothing, nor does a recorded one
+// or one by which a plain service refused. A caller that left is billed if the
+// engine had already given its figures.
+func (d *Dispatcher) count(r carrier.Request, result carrier.Result) {
+	f := transactor.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
+	switch {
+	case result.Replayed:
+		return
+	case r.Route.Kind == definer.Plain:
+		// A service gives no figures: an answer that the recorder has whole
+		// counts, also when the caller has left.
+		if !result.Whole || result.Status >= http.StatusBadRequest {
+			return
+		}
+		f.Model = r.Route.Deployment
+	case !result.Usage.Reported:
+		return
+	default:
+		f.PromptTokens, f.OutputTokens = result.Usage.PromptTokens, result.Usage.OutputTokens
+	}
+	d.Usage.Count(f)
+}
+
 // cancelWait bounds a message that only saves an engine work.
 const cancelWait = 500 * time.Millisecond
 
--- a/internal/request/dispatcher/session_test.go
+++ b/internal/request/dispatcher/session_test.go
@@ -23,6 +23,9 @@
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
+	"foxtailflow.example/foxtailflow/internal/usage/sealer"
 )
 
 const secret = "ff-session"
@@ -117,6 +120,8 @@
 		return fmt.Sprintf("%d\n", s.world.Services[0].Runs(body))
 	case "records":
 		return s.records()
+	case "stop-and-sum":
+		return s.usage()
 	case "await":
 		s.await(by)
 	default:
@@ -154,6 +159,25 @@
 	s.t.Fatalf("no %q in the records:\n%s", text, s.records())
 }
 
+// usage stops the nodes gracefully and sums up what they have sealed.
+func (s *session) usage() string {
+	s.world.Stop()
+	rows, err := s.world.Platform.Scan(context.Background(), "usage/segment/", "", 0)
+	s.is.NoErr(err)
+	var parts [][]transactor.Figures
+	for _, row := range rows {
+		figures, err := sealer.DecodeFigures(row.Value)
+		s.is.NoErr(err)
+		parts = append(parts, figures)
+	}
+	var out strings.Builder
+	for _, f := range counter.Sum(parts...) {
+		_, _ = fmt.Fprintf(&out, "%+v\n", f)
+	}
+	s.world = nil
+	return out.String()
+}
+
 var identifiers = regexp.MustCompile(`req-[0-9a-f]{32}`)
 
 // records returns what the engines received, each in its order, with numbers
