--- a/internal/node/assembler/requests.go
+++ b/internal/node/assembler/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,7 +10,6 @@
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
-	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
@@ -33,8 +31,6 @@
 	orphansEvery = 5 * time.Second
 	reportEvery  = time.Second
 	marksEvery   = time.Hour
-	// keepWait bounds the time until the next peer is tried.
-	keepWait = 300 * time.Millisecond
 )
 
 // requestParts are the parts of a node that answer requests and count usage.
@@ -43,10 +39,6 @@
 	usage    *counter.Counter
 	copies   *sealer.Copies
 	reporter *reporter.Reporter
-	// peers names the live peers, leases the duties of this node; the parts
-	// that know them set them before the node runs.
-	peers  func() []sealer.Peer
-	leases leaser.Holder
 	// marksAfter is the key after which the purge of seals goes on.
 	marksAfter keeper.Cell[string]
 }
@@ -68,6 +60,8 @@
 	}
 	n.buildUsage()
 	n.dispatcher.Usage = n.usage
+	n.membership.keepUsage = n.keepUsage
+	n.duties = append(n.duties, n.usageDuties)
 	return nil
 }
 
@@ -79,64 +73,44 @@
 		// The pieces of each start are counted from 1.
 		Node:    n.settings.ID + "." + identifier.Node(),
 		Counter: n.usage,
-		Sender:  &messenger.Peers{SourceAddress: n.settings.SourceAddress, Timeout: keepWait},
-		Live: func() []sealer.Peer {
-			if n.peers == nil {
-				return nil
-			}
-			return n.peers()
-		},
+		Sender:  n.membership.peers,
+		Live:    n.usagePeers,
 	}
 	n.reporter = &reporter.Reporter{
 		Clock:   n.clock,
 		Log:     n.log,
 		Table:   n.platform,
-		Reports: n.fencedReports,
+		Leases:  n.leaser,
+		Reports: func(g leaser.Grant) transactor.Reports { return n.fencedPlatform(g) },
 		Groups:  n.usageGroups,
 		Window:  func() time.Duration { return n.limits().UsageWindow },
 	}
 }
 
-// fencedReports returns the receiver of reports over connections on which the
-// lease is checked after the dial; each carries one request.
-func (n *Node) fencedReports(g leaser.Grant) transactor.Reports {
-	dialer := &net.Dialer{Timeout: n.settings.ConnectWait}
-	return n.platform.WithTransport(&http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			if err := n.leases.Check(g); err != nil {
-				_ = c.Close()
-				return nil, err
-			}
-			return c, nil
-		},
-	})
+// usagePeers returns the running nodes at which copies of usage can be left.
+func (n *Node) usagePeers() []sealer.Peer {
+	var peers []sealer.Peer
+	for _, m := range n.membership.gossiper.Live() {
+		if !m.Self && !m.Draining {
+			peers = append(peers, sealer.Peer{ID: m.ID, Address: m.PeersAddress})
+		}
+	}
+	return peers
 }
 
-func (n *Node) limits() definer.Limits {
-	if cfg, err := n.applier.Config(); err == nil {
-		return cfg.Limits()
+// usageDuties lists the duties of reporting.
+func (n *Node) usageDuties() []string {
+	var duties []string
+	for group := range n.usageGroups() {
+		duties = append(duties, reporter.Duty(group))
 	}
-	return definer.DefaultLimits()
+	return duties
 }
 
 func (n *Node) usageGroups() int { return n.limits().UsageGroups }
 
-// KeepUsage keeps a copy of a peer's usage; the peers' interface calls it.
-func (n *Node) KeepUsage(_ context.Context, u messenger.UsageCopy) error { return n.copies.Keep(u) }
-
-// report makes one pass over the groups whose duty this node has.
-func (n *Node) report(ctx context.Context) error {
-	if n.leases == nil {
-		return nil
-	}
-	n.reporter.Leases = n.leases
-	return n.reporter.Run(ctx)
-}
+// keepUsage keeps a copy of a peer's usage; the peers' interface calls it.
+func (n *Node) keepUsage(_ context.Context, u messenger.UsageCopy) error { return n.copies.Keep(u) }
 
 func (n *Node) purgeMarks(ctx context.Context) error {
 	next, err := n.copies.Sealer.Purge(ctx, n.marksAfter.Get())
@@ -155,7 +129,7 @@
 		{Name: "usage-copies", Every: copyEvery, Jitter: jitter, Task: n.copies.Send},
 		{Name: "usage-seal", Every: sealEvery, Jitter: jitter, Task: n.copies.SealOwn},
 		{Name: "usage-orphans", Every: orphansEvery, Jitter: jitter, Task: n.copies.SealOrphans},
-		{Name: "usage-report", Every: reportEvery, Jitter: jitter, Task: n.report},
+		{Name: "usage-report", Every: reportEvery, Jitter: jitter, Task: n.reporter.Run},
 		{Name: "usage-marks", Every: marksEvery, Jitter: jitter, Task: n.purgeMarks},
 	}
 }
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -2,9 +2,8 @@
 //
 // A retry helps one request and loads endpoints that may be failing already.
 // So retries are limited to a share of the requests of a route and client
-// account, wait longer each time, and never outlast the deadline. An endpoint
-// that fails again and again is set aside, but never so many that the others
-// cannot carry the load. The package is pure: values go in, decisions come out.
+// account, wait longer each time, and never outlast the deadline. The package is
+// pure: values go in, decisions come out.
 package retrier
 
 import (
@@ -57,12 +56,3 @@
 	d = d/2 + time.Duration(random*float64(d)/2)
 	return d, d < left
 }
-
-// ejectable is the part of a deployment that may be set aside at once.
-const ejectable = 3
-
-// MayEject reports whether one more endpoint may be set aside, when out of
-// total endpoints of its deployment are set aside already.
-func MayEject(out, total int) bool {
-	return (out+1)*ejectable <= total
-}
