usage: windows that fit into a fenced report

A fenced request has at most 16 KiB, and a window of a group with many client accounts is larger; its report would be refused for ever.

A segment row holds at most 32 figures, and a window takes segments up to 12 KiB of figures; the rest falls into the next window, which is closed at once.

--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -48,6 +48,8 @@
 	// closed is the window that this node closed last, so that no other node
 	// can have reported it.
 	closed uint64
+	// more says that the last window left segments over.
+	more bool
 	// idleUntil is when there is something to do again.
 	idleUntil time.Time
 }
@@ -84,7 +86,8 @@
 	if h, err = r.report(ctx, group, g, h); err != nil {
 		return err
 	}
-	if due := h.at.Add(r.Window()); now.Before(due) {
+	s, _ := r.states.Get(group)
+	if due := h.at.Add(r.Window()); now.Before(due) && !s.more {
 		r.idle(group, due)
 		return nil
 	}
@@ -120,9 +123,14 @@
 	return h, err
 }
 
-// segmentsAtOnce bounds the segment rows of one window, so that its commit has
-// a bounded size; the others fall into the next window.
-const segmentsAtOnce = 500
+const (
+	// segmentsAtOnce bounds the segment rows of one window, so that its commit
+	// has a bounded size; the others fall into the next window.
+	segmentsAtOnce = 500
+	// maxFigures bounds the figures of one window in bytes: a fenced request
+	// has at most 16 KiB.
+	maxFigures = 12 << 10
+)
 
 // keepWindows is how long the row of a window is kept.
 const keepWindows = 90 * 24 * time.Hour
@@ -141,6 +149,9 @@
 		if err != nil {
 			return false, err
 		}
+		if sum := counter.Sum(append(parts, figures)...); len(parts) > 0 && len(sealer.EncodeFigures(sum)) > maxFigures {
+			break
+		}
 		parts = append(parts, figures)
 		tx = tx.WithCheck(row.Key, row.Version).WithDelete(row.Key)
 	}
@@ -158,10 +169,10 @@
 		return false, err
 	}
 	r.states.Update(group, func(s state, _ bool) (state, bool) {
-		s.closed = next.closed
+		s.closed, s.more = next.closed, len(parts) < len(rows) || len(rows) == segmentsAtOnce
 		return s, true
 	})
-	r.Log.Info().Int("group", group).Uint64("window", next.closed).Int("segments", len(rows)).Msg("usage window closed")
+	r.Log.Info().Int("group", group).Uint64("window", next.closed).Int("segments", len(parts)).Msg("usage window closed")
 	return true, nil
 }
 
--- a/internal/usage/sealer/sealer.go
+++ b/internal/usage/sealer/sealer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,10 +32,18 @@
 	return segmentPrefix + strconv.Itoa(group) + "/"
 }
 
-func segmentKey(group int, node string, sequence uint64) string {
-	return SegmentPrefix(group) + node + "/" + strconv.FormatUint(sequence, 10)
+// segmentKey names a segment; one with many figures has several rows.
+func segmentKey(group int, node string, sequence uint64, part int) string {
+	key := SegmentPrefix(group) + node + "/" + strconv.FormatUint(sequence, 10)
+	if part > 0 {
+		key += "/" + strconv.Itoa(part)
+	}
+	return key
 }
 
+// rowFigures bounds the figures of one row, so that each fits into a report.
+const rowFigures = 32
+
 func sealedKey(node string) string { return sealedPrefix + node }
 
 // Group returns the group of a client account.
@@ -150,7 +159,11 @@
 	}
 	tx := transactor.Tx{}.WithCheck(sealedKey(node), before.version).WithPut(sealedKey(node), encodeMark(next))
 	for g, figures := range byGroup {
-		tx = tx.WithPut(segmentKey(g, node, next.sequence), EncodeFigures(counter.Sum(figures)))
+		part := 0
+		for row := range slices.Chunk(counter.Sum(figures), rowFigures) {
+			tx = tx.WithPut(segmentKey(g, node, next.sequence, part), EncodeFigures(row))
+			part++
+		}
 	}
 	return tx
 }
