config: every fault with file, line, section, key and code

The parser reads one key = value a line, reports all faults of a file, and puts the head of each section before its keys, so that a missing key has a line.

--- a/internal/config/merger/decode.go
+++ b/internal/config/merger/decode.go
@@ -10,6 +10,17 @@
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
+// The kinds of section.
+const (
+	kindAccount    = "client-account"
+	kindKey        = "key"
+	kindRoute      = "route"
+	kindRule       = "service-rule"
+	kindDeployment = "deployment"
+	kindPlacement  = "placement"
+	kindLimits     = "limits"
+)
+
 // maxCount bounds counts and rates far above the target size, so that sums
 // cannot overflow.
 const maxCount = 100_000_000
@@ -106,7 +117,7 @@
 	limits      map[string]definer.Limits
 }
 
-func decode(settings []parser.Setting) (definer.Definitions, []error) {
+func decode(settings []parser.Setting) (decoder, []error) {
 	d := decoder{
 		accounts:    make(map[string]definer.Account),
 		keys:        make(map[string]definer.Key),
@@ -122,38 +133,38 @@
 			faults = append(faults, err)
 		}
 	}
-	return d.definitions(), faults
+	return d, faults
 }
 
 func (d decoder) take(s parser.Setting) error {
-	if (s.Section.Name == "") != (s.Section.Kind == "limits") {
-		return fault(coder.ConfigSyntax, s, "only the section [limits] has no name")
+	if (s.Section.Name == "") != (s.Section.Kind == kindLimits) {
+		return onHead(coder.ConfigSyntax, s, "only the section [limits] has no name")
 	}
 	switch s.Section.Kind {
-	case "client-account":
-		return apply(d.accounts, accountFields, s, func(name string) definer.Account {
-			return definer.Account{Name: name, Share: 1}
-		})
-	case "key":
+	case kindAccount:
+		return apply(d.accounts, accountFields, s, defaultAccount)
+	case kindKey:
 		return apply(d.keys, keyFields, s, func(id string) definer.Key { return definer.Key{ID: id} })
-	case "route":
+	case kindRoute:
 		return apply(d.routes, routeFields, s, defaultRoute)
-	case "service-rule":
-		return apply(d.rules, ruleFields, s, func(name string) definer.Rule {
-			r := definer.DefaultRule("")
-			r.Name = name
-			return r
-		})
-	case "deployment":
+	case kindRule:
+		return apply(d.rules, ruleFields, s, defaultRule)
+	case kindDeployment:
 		return apply(d.deployments, deploymentFields, s, defaultDeployment)
-	case "placement":
-		return apply(d.placements, placementFields, s, func(string) placement {
-			return placement{Placement: definer.Placement{Tier: transactor.OnDemand}}
-		})
-	case "limits":
+	case kindPlacement:
+		return apply(d.placements, placementFields, s, defaultPlacement)
+	case kindLimits:
 		return apply(d.limits, limitsFields, s, func(string) definer.Limits { return definer.DefaultLimits() })
 	}
-	return fault(coder.ConfigUnknownKey, s, "there is no such kind of section")
+	return onHead(coder.ConfigUnknownKey, s, "there is no such kind of section")
+}
+
+// onHead reports a fault of a section once, at its head.
+func onHead(code coder.Code, s parser.Setting, text string) error {
+	if s.Key != "" {
+		return nil
+	}
+	return fault(code, s, text)
 }
 
 func apply[T any](defs map[string]T, fs fields[T], s parser.Setting, initial func(string) T) error {
@@ -165,11 +176,11 @@
 	if s.Key == "" {
 		return nil
 	}
-	set, ok := fs[s.Key]
+	f, ok := fs[s.Key]
 	if !ok {
 		return fault(coder.ConfigUnknownKey, s, "there is no such key")
 	}
-	v, err := set(v, s.Value)
+	v, err := f.set(v, s.Value)
 	if err != nil {
 		return fault(coder.ConfigBadValue, s, err.Error())
 	}
@@ -177,6 +188,20 @@
 	return nil
 }
 
+func defaultAccount(name string) definer.Account {
+	return definer.Account{Name: name, Share: 1}
+}
+
+func defaultRule(name string) definer.Rule {
+	r := definer.DefaultRule("")
+	r.Name = name
+	return r
+}
+
+func defaultPlacement(string) placement {
+	return placement{Placement: definer.Placement{Tier: transactor.OnDemand}}
+}
+
 func defaultRoute(name string) definer.Route {
 	return definer.Route{
 		Name:       name,
@@ -205,6 +230,7 @@
 	if !ok {
 		limits = definer.DefaultLimits()
 	}
+	// The placements of a deployment follow the order of their names.
 	for _, p := range sortedValues(d.placements) {
 		if dep, ok := d.deployments[p.deployment]; ok {
 			dep.Placements = append(dep.Placements, p.Placement)
--- a/internal/config/merger/merger.go
+++ b/internal/config/merger/merger.go
@@ -3,7 +3,8 @@
 // Files are merged in the order of their names: a later file may set a key of
 // a section that an earlier one began, and then its value holds. Each value
 // keeps the place that it came from, so that an operator can see which file
-// decides. The merged result is checked as a whole; one fault refuses all.
+// decides. The merged result is checked as a whole; one fault refuses all, and
+// every fault names its file, line, section and key.
 package merger
 
 import (
@@ -34,24 +35,46 @@
 	merged := make(map[place]parser.Setting)
 	for _, f := range files {
 		settings, err := parser.Parse(f)
-		if err != nil {
-			faults = append(faults, err)
-			continue
-		}
+		faults = append(faults, split(err)...)
 		for _, s := range settings {
 			merged[place{s.Section, s.Key}] = s
 		}
 	}
 	settings := order(merged)
-	defs, errs := decode(settings)
+	d, errs := decode(settings)
 	faults = append(faults, errs...)
+	defs := d.definitions()
+	// References to what could not be read would only report it again.
 	if len(faults) == 0 {
-		faults = check(defs, settings)
+		faults = check(defs, d.placements, settings)
 	}
 	if err := errors.Join(faults...); err != nil {
 		return Result{}, err
 	}
-	return Result{Config: definer.New(defs), Settings: settings}, nil
+	return Result{Config: definer.New(defs), Settings: withoutHeads(settings)}, nil
+}
+
+// split returns the errors that were joined.
+func split(err error) []error {
+	if err == nil {
+		return nil
+	}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
+// withoutHeads drops the heads of sections that have keys.
+func withoutHeads(settings []parser.Setting) []parser.Setting {
+	kept := make([]parser.Setting, 0, len(settings))
+	for i, s := range settings {
+		if s.Key == "" && i+1 < len(settings) && settings[i+1].Section == s.Section {
+			continue
+		}
+		kept = append(kept, s)
+	}
+	return kept
 }
 
 type place struct {
@@ -77,5 +100,9 @@
 }
 
 func fault(code coder.Code, s parser.Setting, text string) error {
-	return coder.Refuse(code, "file %s, line %d, section [%s], key %s: %s", s.File, s.Line, s.Section, s.Key, text)
+	key := ""
+	if s.Key != "" {
+		key = ", key " + s.Key
+	}
+	return coder.Refuse(code, "file %s, line %d, section [%s]%s: %s", s.File, s.Line, s.Section, key, text)
 }
