--- a/internal/command/starter/config.go
+++ b/internal/command/starter/config.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// extension ends the name of a configuration file.
+const extension = ".ini"
+
 // readFolder reads the configuration files of a folder.
 func readFolder(dir string) ([]parser.File, error) {
 	entries, err := os.ReadDir(dir)
@@ -77,7 +80,7 @@
 	}
 	var files []parser.File
 	for _, e := range entries {
-		if e.IsDir() || filepath.Ext(e.Name()) != ".ini" {
+		if e.IsDir() || filepath.Ext(e.Name()) != extension {
 			continue
 		}
 		data, err := os.ReadFile(filepath.Join(dir, e.Name()))
@@ -110,11 +113,14 @@
 		Example: "  foxtailflow config put configuration/accounts.ini\n  foxtailflow config put accounts.ini --seen 17",
 		Args:    cobra.ExactArgs(1),
 		RunE: o.asking(func(cmd *cobra.Command, c requester.Client, args []string) (*printer.Result, error) {
+			name := filepath.Base(args[0])
+			if filepath.Ext(name) != extension {
+				return nil, coder.Refuse(coder.ConfigSyntax, "file %s: the name of a configuration file ends in %s", name, extension)
+			}
 			data, err := os.ReadFile(args[0])
 			if err != nil {
 				return nil, coder.Refuse(coder.ConfigFileUnknown, "the file cannot be read").WithCause(err)
 			}
-			name := filepath.Base(args[0])
 			version, err := seenVersion(cmd, c, name, seen)
 			if err != nil {
 				return nil, err
