--- a/internal/lab/generator/engine.go
+++ b/internal/lab/generator/engine.go
@@ -159,14 +159,16 @@
 // Cancel stops the work on a request; false means that there is none.
 func (e *Engine) Cancel(id string) bool {
 	e.mu.Lock()
-	r, ok := e.running[id]
+	r, running := e.running[id]
+	_, kept := e.kept[id]
 	delete(e.kept, id)
-	e.noteLocked("cancel id=%s running=%t", id, ok)
+	// A stream whose connection is lost can be resumed until it is cancelled.
+	e.noteLocked("cancel id=%s running=%t", id, running || kept)
 	e.mu.Unlock()
-	if ok {
+	if running {
 		r.cancel()
 	}
-	return ok
+	return running || kept
 }
 
 // Load returns a load report as old as the lag.
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -39,6 +39,8 @@
 			"body":    cmdBody,
 			"exits":   cmdExits,
 			"expand":  cmdExpand,
+			"holder":  cmdHolder,
+			"judge":   cmdJudge,
 			"port":    cmdPort,
 			"request": cmdRequest,
 			"signal":  cmdSignal,
