lab: ports of scripts outside the range of source ports

In a run of all tests, holder-killed and store-down failed: node 3 could not listen, as a connection of another process had taken its port after the script had chosen it ("no "200 OK" within 5s ... connection refused", and "Unsolicited response received on idle HTTP channel" in the logs). Scripts now take ports from 20000 to 31999, below the system's range for source ports, each once.

--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -84,16 +85,38 @@
 	return b.b.String()
 }
 
+// Ports of scripts are below the range from which the system takes the source
+// ports of connections: a port from that range can be taken by any connection
+// between the script's choice and the start of the program that listens there.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// nextPort counts the ports given out; test processes that run at the same
+// time begin at different places.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
 // cmdPort sets each named variable to a free loopback port.
 func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		_, port, err := net.SplitHostPort(l.Addr().String())
-		ts.Check(err)
-		ts.Check(l.Close())
-		ts.Setenv(name, port)
+		ts.Setenv(name, freePort(ts))
+	}
+}
+
+func freePort(ts *testscript.TestScript) string {
+	for range lastPort - firstPort {
+		port := strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10)
+		l, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if err == nil {
+			ts.Check(l.Close())
+			return port
+		}
 	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 // cmdExpand replaces $NAME by the script's variables in files.
