--- a/internal/command/printer/decision.go
+++ b/internal/command/printer/decision.go
@@ -2,107 +2,93 @@
 
 import (
 	"bufio"
-	"fmt"
+	"bytes"
+	"errors"
 	"io"
-	"strings"
 
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 )
 
-// maxLine bounds one log line, in bytes.
+// maxLine bounds one log line, in bytes; longer ones are no decisions.
 const maxLine = 1 << 20
 
-// field is one field of a log line.
-type field struct {
-	name  string
-	value string
+// Decisions are the log lines of the decisions on one request or deployment.
+type Decisions struct {
+	ID    string
+	Lines [][]byte
 }
 
-// Decision is the log line of one decision.
-type Decision struct {
-	// Kind is what was decided, such as "routing".
-	Kind   string
-	fields []field
-	raw    string
-}
-
-// Raw returns the line as it was logged.
-func (d Decision) Raw() string { return d.raw }
-
-// ReadDecisions returns the decision lines of a request or deployment, in the
-// order of the log. Lines that are not JSON are passed over: a log may hold
-// what other programs wrote.
-func ReadDecisions(r io.Reader, id string) ([]Decision, error) {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLine)
-	var found []Decision
-	for lines.Scan() {
-		if d, ok := parseDecision(lines.Bytes(), id); ok {
-			found = append(found, d)
+// ReadDecisions finds the decisions on a request or deployment in a log, in
+// its order. What other programs wrote to the log is passed over.
+//
+// It fails with DecisionUnknown if there is none.
+func ReadDecisions(r io.Reader, id string) (Decisions, error) {
+	found := Decisions{ID: id}
+	in := bufio.NewReaderSize(r, maxLine)
+	for {
+		line, err := in.ReadSlice('\n')
+		tooLong := errors.Is(err, bufio.ErrBufferFull)
+		if !tooLong && isAbout(line, id) {
+			found.Lines = append(found.Lines, bytes.TrimSpace(bytes.Clone(line)))
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if len(found.Lines) == 0 {
+				return found, coder.Refuse(coder.DecisionUnknown, "the logs have no decision on %s", id)
+			}
+			return found, nil
+		case err != nil && !tooLong:
+			return found, coder.Refuse(coder.MalformedBody, "the log cannot be read").WithCause(err)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return nil, coder.Refuse(coder.MalformedBody, "the log cannot be read").WithCause(err)
-	}
-	return found, nil
 }
 
-func parseDecision(line []byte, id string) (Decision, bool) {
-	d := Decision{raw: string(line)}
-	about := false
-	err := jx.DecodeBytes(line).Obj(func(dec *jx.Decoder, name string) error {
-		raw, err := dec.Raw()
-		if err != nil {
-			return err
-		}
-		value := plain(raw)
-		switch name {
-		case "decision":
-			d.Kind = value
-		case "request", "deployment":
-			about = about || value == id
-			d.fields = append(d.fields, field{name, value})
-		case "level", "message":
-		default:
-			d.fields = append(d.fields, field{name, value})
+// isAbout reports whether a line is a decision on a request, or one on the
+// roles or fleet of a deployment; a deployment's requests are too many.
+func isAbout(line []byte, id string) bool {
+	var decision, request, deployment string
+	texts := map[string]*string{
+		explainer.FieldDecision:   &decision,
+		explainer.FieldRequest:    &request,
+		explainer.FieldDeployment: &deployment,
+	}
+	err := jx.DecodeBytes(line).Obj(func(d *jx.Decoder, name string) (err error) {
+		text, ok := texts[name]
+		if !ok || d.Next() != jx.String {
+			return d.Skip()
 		}
-		return nil
+		*text, err = d.Str()
+		return err
 	})
-	return d, err == nil && about && d.Kind != ""
+	if err != nil || decision == "" {
+		return false
+	}
+	if decision == explainer.Roles || decision == explainer.Fleet {
+		return deployment == id
+	}
+	return request == id
 }
 
-// plain returns a JSON value as text: strings without quotes, arrays as a list.
-func plain(raw jx.Raw) string {
-	switch raw.Type() {
-	case jx.String:
-		s, err := jx.DecodeBytes(raw).Str()
-		if err == nil {
-			return s
-		}
-	case jx.Array:
-		var items []string
-		err := jx.DecodeBytes(raw).Arr(func(d *jx.Decoder) error {
-			item, err := d.Raw()
-			items = append(items, plain(item))
-			return err
-		})
-		if err == nil {
-			return strings.Join(items, ", ")
-		}
+// Text returns the decisions in words.
+func (d Decisions) Text() (string, error) {
+	var b bytes.Buffer
+	if err := explainer.Explain(&b, bytes.NewReader(bytes.Join(d.Lines, []byte("\n"))), d.ID); err != nil {
+		return "", err
 	}
-	return string(raw)
+	return string(bytes.TrimRight(b.Bytes(), "\n")), nil
 }
 
-// String returns the decision as one line: the kind, then each field that has
-// a value.
-func (d Decision) String() string {
-	parts := make([]string, 0, len(d.fields))
-	for _, f := range d.fields {
-		if f.value != "" {
-			parts = append(parts, fmt.Sprintf("%s %s", f.name, f.value))
-		}
-	}
-	return d.Kind + ": " + strings.Join(parts, "; ")
+// Encode writes the fields of the decisions.
+func (d Decisions) Encode(e *jx.Encoder) {
+	e.Field("id", func(e *jx.Encoder) { e.Str(d.ID) })
+	e.Field("decisions", func(e *jx.Encoder) {
+		e.Arr(func(e *jx.Encoder) {
+			for _, line := range d.Lines {
+				e.Raw(line)
+			}
+		})
+	})
 }
--- a/internal/command/printer/printer.go
+++ b/internal/command/printer/printer.go
@@ -1,8 +1,7 @@
 // Package printer prints results for operators.
 //
 // Each result has two forms: text for people, in columns, and one JSON object
-// for scripts. Decision lines are printed as text that says what was chosen,
-// what was rejected and why.
+// for scripts. The decisions on a request are found in logs and told in words.
 package printer
 
 import (
--- a/internal/command/starter/fleet.go
+++ b/internal/command/starter/fleet.go
@@ -193,50 +193,29 @@
 			if err != nil {
 				return err
 			}
-			if len(found) == 0 {
-				return coder.Refuse(coder.DecisionUnknown, "the logs have no decision on %s", args[0])
+			text, err := found.Text()
+			if err != nil {
+				return err
 			}
-			return p.Print(explainResult(args[0], found))
+			return p.Print(printer.Result{Text: text, Encode: found.Encode})
 		},
 	}
 }
 
-func readLogs(stdin io.Reader, id string, paths []string) ([]printer.Decision, error) {
+// readLogs reads log files one after the other, or standard input.
+func readLogs(stdin io.Reader, id string, paths []string) (printer.Decisions, error) {
 	if len(paths) == 0 {
 		return printer.ReadDecisions(stdin, id)
 	}
-	var all []printer.Decision
+	var logs []io.Reader
 	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
-			return nil, coder.Refuse(coder.CommandUsage, "the log cannot be read").WithCause(err)
+			return printer.Decisions{}, coder.Refuse(coder.CommandUsage, "the log cannot be read").WithCause(err)
 		}
-		found, err := printer.ReadDecisions(f, id)
-		_ = f.Close()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, found...)
-	}
-	return all, nil
-}
-
-func explainResult(id string, found []printer.Decision) printer.Result {
-	lines := make([]string, 0, len(found))
-	for _, d := range found {
-		lines = append(lines, d.String())
-	}
-	return printer.Result{
-		Text: strings.Join(lines, "\n"),
-		Encode: func(e *jx.Encoder) {
-			e.Field("id", func(e *jx.Encoder) { e.Str(id) })
-			e.Field("decisions", func(e *jx.Encoder) {
-				e.Arr(func(e *jx.Encoder) {
-					for _, d := range found {
-						e.Raw(jx.Raw(d.Raw()))
-					}
-				})
-			})
-		},
+		defer func() { _ = f.Close() }()
+		// A log that does not end with a line must not run into the next one.
+		logs = append(logs, f, strings.NewReader("\n"))
 	}
+	return printer.ReadDecisions(io.MultiReader(logs...), id)
 }
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/jx"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	command "foxtailflow.example/foxtailflow/internal/command/starter"
@@ -40,6 +41,7 @@
 			"body":    cmdBody,
 			"exits":   cmdExits,
 			"expand":  cmdExpand,
+			"field":   cmdField,
 			"holder":  cmdHolder,
 			"judge":   cmdJudge,
 			"port":    cmdPort,
@@ -139,6 +141,20 @@
 	}
 }
 
+// cmdField sets a variable to a text field of a JSON object: field VARIABLE NAME FILE.
+func cmdField(ts *testscript.TestScript, _ bool, args []string) {
+	value := ""
+	err := jx.DecodeStr(ts.ReadFile(args[2])).Obj(func(d *jx.Decoder, name string) (err error) {
+		if name != args[1] {
+			return d.Skip()
+		}
+		value, err = d.Str()
+		return err
+	})
+	ts.Check(err)
+	ts.Setenv(args[0], value)
+}
+
 // cmdStart starts a program under a name: start NAME PROGRAM ARGS...
 //
 // Its output goes to the file NAME.log when the script ends.
