measurer: decisions under load beside baselines

Cause: the policies were checked by scripts only; what they win was not known. Change: 'foxtailflow-lab measure' drives picker, indexer, queuer, admitter, forecaster, balancer and planner in a loop with a fake clock over both deployments' mixes, beside seven baselines and an assignment that knows the future.

--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -59,6 +59,10 @@
 // Fit returns the number of endpoints that take new work.
 func (s Set) Fit() int { return len(s.all[index(Both)]) }
 
+// Candidates returns the identifiers of the endpoints fit for a phase; the
+// slice must not be changed.
+func (s Set) Candidates(phase Role) []string { return s.all[index(phase)] }
+
 // Out returns why endpoints are not in the set, up to a bound.
 func (s Set) Out() []Rejected { return s.out }
 
--- /dev/null
+++ b/internal/lab/measurer/measurer.go
@@ -0,0 +1,156 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+)
+
+// Plans returns the runs of the experiment: ours, and ours with one policy
+// replaced by a baseline.
+func Plans() []Plan {
+	ours := Plan{Name: "foxtailflow", Routing: "two-choices", Queue: "fair", Roles: "priced", Fleet: "surviving"}
+	with := func(name string, change func(*Plan)) Plan {
+		p := ours
+		p.Name = name
+		change(&p)
+		return p
+	}
+	return []Plan{
+		ours,
+		with("knows the future", func(p *Plan) { p.Roles = "knows-future" }),
+		with("greedy role changes", func(p *Plan) { p.Roles = "greedy" }),
+		with("never changes roles", func(p *Plan) { p.Roles = "never" }),
+		with("round robin", func(p *Plan) { p.Routing = "round-robin" }),
+		with("least reported load", func(p *Plan) { p.Routing = "least-report" }),
+		with("no cache affinity", func(p *Plan) { p.Routing = "no-affinity" }),
+		with("first come first served", func(p *Plan) { p.Queue = "fifo" }),
+		with("all expensive", func(p *Plan) { p.Fleet = "expensive" }),
+	}
+}
+
+// Result is the mean of the runs of one plan with all seeds.
+type Result struct {
+	Plan    Plan
+	Mix     string
+	Offered float64
+	// Good is requests a second inside their deadline, Tokens their output.
+	Good   float64
+	Tokens float64
+	// Worst is the least share of its entitlement that an account got under the
+	// flood.
+	Worst   float64
+	Changes float64
+	// Cost is the mean price of the fleet for an hour.
+	Cost    float64
+	Refused float64
+	Late    float64
+	// Wasted is the share of tokens worked on for requests that were late.
+	Wasted float64
+}
+
+// Measurer runs the experiment.
+type Measurer struct {
+	Out io.Writer
+	// Seeds are used in turn for each plan and mix.
+	Seeds []uint64
+	// Length shortens the runs; 0 means their whole length.
+	Length time.Duration
+	// Only names one plan; empty means all.
+	Only string
+}
+
+// concurrentRuns bounds the runs at once; each has its own state.
+const concurrentRuns = 4
+
+// Run measures all plans on both mixes and prints a table.
+func (m Measurer) Run() []Result {
+	var plans []Plan
+	for _, p := range Plans() {
+		if m.Only == "" || m.Only == p.Name {
+			plans = append(plans, p)
+		}
+	}
+	var results []Result
+	for _, x := range []mix{bartwichse(), radio()} {
+		out := make([]Result, len(plans))
+		p := pool.New().WithMaxGoroutines(concurrentRuns)
+		for i := range plans {
+			p.Go(func() { out[i] = m.mean(plans[i], x) })
+		}
+		p.Wait()
+		results = append(results, out...)
+	}
+	m.print(results)
+	return results
+}
+
+func (m Measurer) length() time.Duration {
+	if m.Length > 0 {
+		return m.Length
+	}
+	return length
+}
+
+func (m Measurer) mean(p Plan, x mix) Result {
+	sum := Result{Plan: p, Mix: x.name, Worst: 1}
+	n := float64(len(m.Seeds))
+	for _, seed := range m.Seeds {
+		run := newRun(p, x, seed)
+		run.length = m.length()
+		c := run.do()
+		sum.Offered += float64(c.offered) / m.length().Seconds() / n
+		sum.Good += float64(c.good) / m.length().Seconds() / n
+		sum.Tokens += c.tokens / m.length().Seconds() / n
+		sum.Worst = min(sum.Worst, worst(c.byClient[0], c.byClient[1]))
+		sum.Changes += float64(c.changes) / n
+		sum.Cost += c.cost / m.length().Hours() / n
+		sum.Refused += float64(c.refused) / float64(c.offered) / n
+		sum.Late += float64(c.late+c.expired) / float64(c.offered) / n
+		sum.Wasted += c.wasted / max(c.tokens+c.wasted, 1) / n
+	}
+	return sum
+}
+
+// worst returns the least part of its entitlement that a client account got.
+//
+// With equal shares, each is entitled to what it asked for, up to the level at
+// which all entitlements add up to what was done in all.
+func worst(asked, got []float64) float64 {
+	total := 0.0
+	for _, g := range got {
+		total += g
+	}
+	order := slices.Sorted(slices.Values(asked))
+	level, left := 0.0, total
+	for i, a := range order {
+		level = left / float64(len(order)-i)
+		if a >= level {
+			break
+		}
+		left -= a
+	}
+	least := 1.0
+	for i, a := range asked {
+		if e := min(a, level); e > 0 {
+			least = min(least, got[i]/e)
+		}
+	}
+	return least
+}
+
+func (m Measurer) print(results []Result) {
+	w := tabwriter.NewWriter(m.Out, 0, 0, 1, ' ', 0)
+	_, _ = fmt.Fprintf(w, "seeds %v, %d s each, means; worst account is the least of all seeds\n", m.Seeds, int(m.length().Seconds()))
+	_, _ = fmt.Fprintln(w, "| mix\t| policy\t| offered/s\t| in time/s\t| tokens/s\t| worst account\t| role changes\t| cost/h\t| refused\t| late\t| wasted\t|")
+	_, _ = fmt.Fprintln(w, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "| %s\t| %s\t| %.2f\t| %.2f\t| %.0f\t| %.2f\t| %.1f\t| %.0f\t| %.1f%%\t| %.1f%%\t| %.1f%%\t|\n",
+			r.Mix, r.Plan.Name, r.Offered, r.Good, r.Tokens, r.Worst, r.Changes, r.Cost, 100*r.Refused, 100*r.Late, 100*r.Wasted)
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/internal/lab/measurer/policies.go
@@ -0,0 +1,100 @@
+package measurer
+
+import (
+	"context"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/queuer"
+)
+
+// chooseFunc chooses an endpoint.
+type chooseFunc func(picker.Need, picker.View) picker.Choice
+
+// RoundRobin takes the candidates in turns.
+type RoundRobin struct {
+	turn int
+}
+
+// Choose takes the next candidate that is fit.
+func (p *RoundRobin) Choose(n *picker.Need, v picker.View, c *picker.Choice) bool {
+	ids := v.Set.Candidates(n.Phase)
+	for range ids {
+		p.turn++
+		if e, ok := v.Draw(n, ids[p.turn%len(ids):][:1], c); ok {
+			c.Endpoint, c.OK, c.Reason = e, true, "next in turn"
+			return true
+		}
+	}
+	return false
+}
+
+// LeastReported takes the candidate whose last report has the fewest requests.
+type LeastReported struct{}
+
+// Choose passes over all candidates.
+func (LeastReported) Choose(n *picker.Need, v picker.View, c *picker.Choice) bool {
+	ids := v.Set.Candidates(n.Phase)
+	for i := range ids {
+		e, ok := v.Draw(n, ids[i:i+1], c)
+		if ok && (!c.OK || reported(e) < reported(c.Endpoint)) {
+			c.Endpoint, c.OK, c.Reason = e, true, "least reported load"
+		}
+	}
+	return c.OK
+}
+
+func reported(e picker.Endpoint) int { return e.Report.InFlight + e.Report.Queued }
+
+// choosers returns the routing policies by name.
+func choosers() map[string]func() chooseFunc {
+	return map[string]func() chooseFunc{
+		"two-choices":  func() chooseFunc { return picker.Picker[picker.Affine[picker.TwoChoices]]{}.Pick },
+		"no-affinity":  func() chooseFunc { return picker.Picker[picker.TwoChoices]{}.Pick },
+		"round-robin":  func() chooseFunc { return picker.Picker[*RoundRobin]{Policy: &RoundRobin{}}.Pick },
+		"least-report": func() chooseFunc { return picker.Picker[LeastReported]{}.Pick },
+	}
+}
+
+// queue is what the loop needs of a queue.
+type queue interface {
+	Add(j *job) error
+	Next(ctx context.Context) (*job, bool)
+	Done(j *job, r carrier.Result)
+	Wake()
+	Balance()
+	Work() []queuer.Work
+}
+
+// fifo serves first come first served, bounded by the number of requests.
+type fifo struct {
+	queue runner.Queue[*job]
+	room  func() bool
+}
+
+const fifoLimit = 10_000
+
+func (f *fifo) Add(j *job) error {
+	f.queue.Limit = fifoLimit
+	if !f.queue.Add(j) {
+		return coder.Refuse(coder.QueueFull, "too many requests wait")
+	}
+	return nil
+}
+
+func (f *fifo) Next(ctx context.Context) (*job, bool) {
+	for f.room() {
+		j, ok := f.queue.Next(ctx)
+		if !ok || !j.over {
+			return j, ok
+		}
+	}
+	return nil, false
+}
+
+func (*fifo) Done(*job, carrier.Result) {}
+func (*fifo) Wake()                     {}
+func (*fifo) Balance()                  {}
+func (*fifo) Work() []queuer.Work       { return nil }
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -33,6 +33,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand())
+	root.AddCommand(measureCommand())
 	root.AddCommand(standInCommands()...)
 	return root
 }
