admitter: keep waiting requests in the nodes, start none that would be late

Cause: a node sent up to the room that it saw in reports 2 s old, as all others did, so requests waited in the engines, where neither shares nor deadlines hold; then requests were started with too little time left. Change: a gate gives each node its part of the engines' slots and of their prefill rate by its part of the demand, and the reports correct it by half of the difference. A request whose turn comes is refused as not run if the measured time for its output is more than what is left.

--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -79,82 +79,17 @@
 	return coder.Refuse(code, format, args...).WithRetryAfter(min(max(retry, minRetry), maxRetry))
 }
 
-// Pace is how fast a deployment works, as this node has measured it.
-//
-// It is an immutable value; the With methods return changed copies.
-type Pace struct {
-	// rate is work a second while requests waited, 0 if not known.
-	rate float64
-	// service is the mean time of a request, size its mean work.
-	service float64
-	size    float64
-
-	since time.Time
-	work  float64
-	// slack says that nothing waited at some time since then.
-	slack bool
-}
+// hopeful is the part of the expected service time for which a request is
+// still started: half of the requests take less than the mean.
+const hopeful = 0.8
 
-const (
-	// paceEvery is the least time over which a rate is measured.
-	paceEvery = time.Second
-	// paceShare is the weight of a new rate: a lost engine shows in 3 s.
-	paceShare = 0.3
-	// serviceShare is the weight of one request in the mean service time.
-	serviceShare = 0.05
-	// Requests differ from the mean by more than their work says; the bounds
-	// keep one odd estimate from refusing what could be served.
-	minScale, maxScale = 0.25, 3
-)
-
-// WithDone returns the pace after a request of the given work that ran for d;
-// waiting says whether others wait.
-func (p Pace) WithDone(now time.Time, work float64, d time.Duration, waiting bool) Pace {
-	if p.size == 0 {
-		p.service, p.size = d.Seconds(), work
-	}
-	p.service += serviceShare * (d.Seconds() - p.service)
-	p.size += serviceShare * (work - p.size)
-	if p.since.IsZero() {
-		p.since, p.slack = now, !waiting
-		return p
+// TooLate returns the refusal of a request whose turn has come, and whether it
+// is refused: work on it would be lost, and other requests would wait for it.
+func TooLate(now, deadline time.Time, service time.Duration) (coder.Error, bool) {
+	left := deadline.Sub(now)
+	if float64(left) >= hopeful*float64(service) {
+		return coder.Error{}, false
 	}
-	p.work += work
-	p.slack = p.slack || !waiting
-	dt := now.Sub(p.since)
-	if dt < paceEvery {
-		return p
-	}
-	rate := p.work / dt.Seconds()
-	switch {
-	case p.slack:
-		// Not all capacity was used, so it is at least this.
-		p.rate = max(p.rate, rate)
-	case p.rate == 0:
-		p.rate = rate
-	default:
-		p.rate += paceShare * (rate - p.rate)
-	}
-	p.since, p.work, p.slack = now, 0, !waiting
-	return p
-}
-
-// Wait returns how long the given work takes, 0 if that is not known.
-func (p Pace) Wait(ahead float64) time.Duration {
-	if p.rate <= 0 {
-		return 0
-	}
-	return time.Duration(ahead / p.rate * float64(time.Second))
+	return refuse(coder.WouldMissTime, fullRetry, "the work of about %v is longer than the time left, %v",
+		service.Round(time.Millisecond), left.Round(time.Millisecond)), true
 }
-
-// Service returns how long a request of the given work runs, 0 if not known.
-func (p Pace) Service(work float64) time.Duration {
-	if p.size <= 0 {
-		return 0
-	}
-	scale := min(max(work/p.size, minScale), maxScale)
-	return time.Duration(p.service * scale * float64(time.Second))
-}
-
-// Rate returns work a second, 0 if not known.
-func (p Pace) Rate() float64 { return p.rate }
--- a/internal/decision/admitter/admitter_test.go
+++ b/internal/decision/admitter/admitter_test.go
@@ -175,14 +175,15 @@
 
 // paceScript has requests end at equal distances and shows what is measured.
 func paceScript(t *testing.T, td *datadriven.TestData, p *admitter.Pace, now *time.Time) string {
-	count, work, every, service := 0, 100.0, 0.1, 1.0
+	count, work, every, service, output := 0, 100.0, 0.1, 1.0, 100.0
 	td.ScanArgs(t, "count", &count)
 	td.MaybeScanArgs(t, "work", &work)
 	td.MaybeScanArgs(t, "every", &every)
+	td.MaybeScanArgs(t, "output", &output)
 	td.MaybeScanArgs(t, "service", &service)
 	for range count {
 		*now = now.Add(time.Duration(every * float64(time.Second)))
-		*p = p.WithDone(*now, work, time.Duration(service*float64(time.Second)), !td.HasArg("slack"))
+		*p = p.WithDone(*now, work, output, time.Duration(service*float64(time.Second)), !td.HasArg("slack"))
 	}
-	return fmt.Sprintf("rate %.0f, wait for 1000 %v, service %v\n", p.Rate(), p.Wait(1000).Round(time.Millisecond), p.Service(work).Round(time.Millisecond))
+	return fmt.Sprintf("rate %.0f, wait for 1000 %v, service %v\n", p.Rate(), p.Wait(1000).Round(time.Millisecond), p.Service(output).Round(time.Millisecond))
 }
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -18,6 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/admitter"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/platform/transactor"
@@ -60,6 +61,8 @@
 	// Requests and Load are the corrected reports.
 	Requests int
 	Load     int
+	// Backlog is the reported prompt tokens that wait.
+	Backlog int
 	// Sent is the number of requests of this node in progress.
 	Sent int
 	// Fit is the number of endpoints that take new work.
@@ -73,6 +76,7 @@
 	s.Endpoints += n
 	s.Requests += n * e.Requests()
 	s.Load += n * e.Load()
+	s.Backlog += n * e.Report.Backlog
 	s.Sent += n * e.Sent
 	if e.Ejected() {
 		s.Ejected += n
@@ -105,11 +109,23 @@
 	return g.sums
 }
 
-// Room returns the requests that the fit endpoints of a deployment can work on
-// at once, and those that they have.
-func (o *Observer) Room(deployment string, slotsEach int) (slots, busy int) {
-	s := o.Sums(deployment)
-	return s.Fit * slotsEach, s.Requests
+// Room returns what the fit endpoints of a deployment can take and have.
+func (o *Observer) Room(d definer.Deployment) admitter.Room {
+	g, _ := o.groups.Get(d.Name)
+	return RoomOf(d, g.set, g.sums.Requests, g.sums.Backlog)
+}
+
+// RoomOf returns the room of a deployment by its candidates, the requests in
+// work and the prompt tokens that wait.
+//
+// A request spends most of its time in decoding, so the engines that decode
+// give the slots.
+func RoomOf(d definer.Deployment, set picker.Set, requests, backlog int) admitter.Room {
+	r := admitter.Room{Slots: len(set.Candidates(picker.Decode)) * d.Slots, Requests: requests, Backlog: backlog}
+	if d.Kind == definer.Model {
+		r.PrefillRate = float64(len(set.Candidates(picker.Prefill)) * d.PrefillRate)
+	}
+	return r
 }
 
 // Sent notes that a request of the given work goes to an endpoint.
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -104,6 +104,7 @@
 		want.Requests += e.Requests()
 		want.Load += e.Load()
 		want.Sent += e.Sent
+		want.Backlog += e.Report.Backlog
 		if e.Ejected() {
 			want.Ejected++
 		}
--- a/internal/lab/measurer/node.go
+++ b/internal/lab/measurer/node.go
@@ -12,6 +12,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
@@ -64,7 +65,7 @@
 func newNode(r *run, dataCentre string) *node {
 	n := &node{run: r, dataCentre: dataCentre, choose: choosers()[r.plan.Routing]()}
 	if r.plan.Queue == "fifo" {
-		n.queue = &fifo{room: n.hasRoom}
+		n.queue = &fifo{node: n}
 	} else {
 		n.queue = &queuer.Queue[*job]{Clock: r.clock, Log: zerolog.Nop(), Configs: n, Rooms: n, Peers: n}
 	}
@@ -74,18 +75,14 @@
 // Config returns the definitions of the experiment.
 func (n *node) Config() (definer.Config, error) { return n.run.config, nil }
 
-// Room returns the requests that the engines can work on, and those they have.
-func (n *node) Room(_ string, each int) (slots, busy int) {
+// Room returns what the engines can take and how full they are.
+func (n *node) Room(d definer.Deployment) admitter.Room {
+	requests, backlog := 0, 0
 	for _, e := range n.rows.Values() {
-		busy += e.Requests()
+		requests += e.Requests()
+		backlog += e.Report.Backlog
 	}
-	return n.set.Fit() * each, busy
-}
-
-// hasRoom is the same bound for the queue that serves in the order of arrival.
-func (n *node) hasRoom() bool {
-	slots, busy := n.Room("", slotsEach)
-	return slots == 0 || float64(busy) < 1.25*float64(slots) || n.running < slots/len(n.run.nodes)
+	return observer.RoomOf(d, n.set, requests, backlog)
 }
 
 // Elsewhere returns the work on the other nodes, a second ago.
--- a/internal/lab/measurer/policies.go
+++ b/internal/lab/measurer/policies.go
@@ -5,6 +5,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/decision/admitter"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
@@ -71,7 +72,8 @@
 // fifo serves first come first served, bounded by the number of requests.
 type fifo struct {
 	queue runner.Queue[*job]
-	room  func() bool
+	node  *node
+	gate  admitter.Gate
 }
 
 const fifoLimit = 10_000
@@ -85,16 +87,27 @@
 }
 
 func (f *fifo) Next(ctx context.Context) (*job, bool) {
-	for f.room() {
+	f.gate = f.gate.WithTime(f.node.run.clock.Now())
+	for f.gate.Allows(f.node.running) {
 		j, ok := f.queue.Next(ctx)
-		if !ok || !j.over {
-			return j, ok
+		if !ok {
+			return nil, false
+		}
+		if !j.over {
+			f.gate = f.gate.WithStarted(float64(j.prompt))
+			return j, true
 		}
 	}
 	return nil, false
 }
 
+// Wake has the same gate as the queue of the product; the nodes have equal
+// parts of the demand.
+func (f *fifo) Wake() {
+	r := f.node.run
+	f.gate = f.gate.WithRoom(r.clock.Now(), f.node.Room(r.deployment), 1/float64(len(r.nodes)))
+}
+
 func (*fifo) Done(*job, carrier.Result) {}
-func (*fifo) Wake()                     {}
 func (*fifo) Balance()                  {}
 func (*fifo) Work() []queuer.Work       { return nil }
--- a/internal/lab/measurer/run.go
+++ b/internal/lab/measurer/run.go
@@ -84,7 +84,7 @@
 	}
 	r.control.ratio = 1 / bounded
 	r.count.byClient = [2][]float64{make([]float64, len(m.clients)), make([]float64, len(m.clients))}
-	r.deployment = definer.Deployment{Name: m.name, Kind: definer.Model, Slots: slotsEach}
+	r.deployment = definer.Deployment{Name: m.name, Kind: definer.Model, Slots: slotsEach, PrefillRate: prefillRate}
 	for _, dc := range m.dataCentres {
 		r.deployment.Placements = append(r.deployment.Placements,
 			definer.Placement{DataCentre: dc, Tier: transactor.OnDemand, Max: engines, Cost: expensive},
--- a/internal/request/queuer/lane.go
+++ b/internal/request/queuer/lane.go
@@ -15,30 +15,8 @@
 	fair       admitter.Fair[entry[J]]
 	pace       admitter.Pace
 	running    int
-	slotsEach  int
-	// slots and busy are the room that was last asked for; then is what this
-	// node had in work at that time.
-	slots int
-	busy  int
-	then  int
-}
-
-// overcommit is how many requests the endpoints get above their slots, so that
-// none idles between the end of a request and the arrival of the next.
-const overcommit = 1.25
-
-// hasRoom reports whether another request may go to the endpoints.
-//
-// A node always has its part of the slots: what it knows of the load of the
-// others is late.
-func (ln *lane[J]) hasRoom(nodes int) bool {
-	if ln.slots == 0 {
-		// Without endpoints the request is refused when its turn comes.
-		return true
-	}
-	limit := float64(ln.slots) * overcommit
-	busy := ln.busy + ln.running - ln.then
-	return float64(busy) < limit || float64(ln.running) < limit/float64(max(nodes, 1))
+	// gate bounds what is sent by what the endpoints can take.
+	gate admitter.Gate
 }
 
 // part returns an account's part of the shares of the accounts that wait, with
@@ -68,7 +46,7 @@
 	cfg, err := q.Configs.Config()
 	now := q.Clock.Now()
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	s, ok := q.running[job]
 	if !ok {
 		return
@@ -90,7 +68,7 @@
 	q.ledgers[s.account] = q.ledgers[s.account].WithEnded(now, work-s.work, tokens-s.tokens, output)
 	ln.fair.Charge(s.account, work-s.work, ln.lead())
 	if work > 0 {
-		ln.pace = ln.pace.WithDone(now, work, now.Sub(s.at), ln.fair.Len() > 0)
+		ln.pace = ln.pace.WithDone(now, work, s.output, now.Sub(s.at), ln.fair.Len() > 0)
 	}
 	q.pump(now)
 }
@@ -98,21 +76,18 @@
 // Expire refuses the jobs whose deadline has come while they waited.
 func (q *Queue[J]) Expire() {
 	now := q.Clock.Now()
-	var jobs []J
 	q.mu.Lock()
+	defer q.unlock()
 	for _, ln := range q.order {
 		for _, it := range ln.fair.Expire(now) {
 			q.ledgers[it.Account] = q.ledgers[it.Account].WithExpired(it.Value.work, it.Value.tokens)
 			q.waiting--
-			jobs = append(jobs, it.Value.job)
+			f := coder.Refuse(coder.DeadlinePassed, "the deadline passed while the request waited").WithRetryAfter(time.Second)
+			q.doomed = append(q.doomed, refusal[J]{job: it.Value.job, err: f})
 		}
 	}
 	q.timerAt = time.Time{}
 	q.setTimer(now)
-	q.mu.Unlock()
-	for _, job := range jobs {
-		job.Refuse(coder.Refuse(coder.DeadlinePassed, "the deadline passed while the request waited").WithRetryAfter(time.Second))
-	}
 }
 
 // setTimer makes Expire due at the earliest deadline.
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -38,9 +38,8 @@
 
 // Rooms tells how much a deployment can take.
 type Rooms interface {
-	// Room returns the requests that its endpoints can work on at once, and
-	// those that they have, both on all nodes; 0 slots means not known.
-	Room(deployment string, slotsEach int) (slots, busy int)
+	// Room returns what its endpoints can take and how full they are.
+	Room(d definer.Deployment) admitter.Room
 }
 
 // Peers tells what the other nodes do.
@@ -68,6 +67,8 @@
 	waiting int
 	running map[J]started
 	parked  []chan J
+	// doomed are jobs to refuse once the lock is released.
+	doomed  []refusal[J]
 	timer   timekeeper.Timer
 	timerAt time.Time
 }
@@ -77,6 +78,14 @@
 	job    J
 	work   float64
 	tokens float64
+	prompt float64
+	output float64
+}
+
+// refusal is a job that is refused after it waited.
+type refusal[J Job] struct {
+	job J
+	err coder.Error
 }
 
 // started is a job in work.
@@ -85,6 +94,7 @@
 	lane    string
 	work    float64
 	tokens  float64
+	output  float64
 	at      time.Time
 }
 
@@ -99,7 +109,7 @@
 	q.mu.Lock()
 	f, refused := q.admit(cfg, r, job, now)
 	q.pump(now)
-	q.mu.Unlock()
+	q.unlock()
 	if !refused {
 		return nil
 	}
@@ -128,15 +138,14 @@
 		Waiting: q.waiting, Limit: limits.MaxQueue, Share: ln.part(r.Account, share),
 	}
 	if ln.fair.Len() > 0 {
-		in.Wait, in.Service = ln.pace.Wait(ahead), ln.pace.Service(work)
+		in.Wait, in.Service = ln.pace.Wait(ahead), ln.pace.Service(output)
 	}
 	if f, refused := admitter.Decide(in); refused {
 		q.ledgers[r.Account] = ledger
 		return f, true
 	}
-	ln.slotsEach = slotsOf(cfg, r.Route.Deployment)
 	ln.fair.Add(admitter.Item[entry[J]]{
-		Value: entry[J]{job: job, work: work, tokens: tokens}, Account: r.Account, Share: share,
+		Value: entry[J]{job: job, work: work, tokens: tokens, prompt: promptOf(r), output: output}, Account: r.Account, Share: share,
 		Priority: r.Route.Priority, Work: work, Deadline: r.Deadline,
 	})
 	q.ledgers[r.Account] = ledger.WithAdmitted(work, tokens)
@@ -144,11 +153,6 @@
 	return coder.Error{}, false
 }
 
-func slotsOf(cfg definer.Config, deployment string) int {
-	d, _ := cfg.Deployment(deployment)
-	return d.Slots
-}
-
 func (q *Queue[J]) lane(deployment string) *lane[J] {
 	ln, ok := q.lanes[deployment]
 	if !ok {
@@ -170,7 +174,7 @@
 	q.mu.Lock()
 	q.parked = append(q.parked, wake)
 	q.pump(q.Clock.Now())
-	q.mu.Unlock()
+	q.unlock()
 	select {
 	case job = <-wake:
 		return job, true
@@ -188,54 +192,79 @@
 	return <-wake, true
 }
 
+// unlock releases the lock and refuses what was found to be too late.
+func (q *Queue[J]) unlock() {
+	doomed := q.doomed
+	q.doomed = nil
+	q.mu.Unlock()
+	for _, d := range doomed {
+		r := d.job.Request()
+		explainer.LogRefusal(q.Log, r.ID, r.Account, r.Route.Deployment, d.err)
+		d.job.Refuse(d.err)
+	}
+}
+
 // Wake asks for the room of each deployment and hands out jobs that have some;
 // it is called after new load reports.
 //
 // The room is asked for without the lock of the queue, as the endpoints come
-// before it in the lock order; in between it is corrected by what this node
-// starts and ends.
+// before it in the lock order.
 func (q *Queue[J]) Wake() {
-	type room struct{ slots, busy int }
-	rooms := make(map[string]room)
-	if q.Rooms != nil {
-		for name, each := range q.slots() {
-			slots, busy := q.Rooms.Room(name, each)
-			rooms[name] = room{slots: slots, busy: busy}
+	rooms := make(map[string]admitter.Room)
+	cfg, err := q.Configs.Config()
+	if err == nil && q.Rooms != nil {
+		for _, d := range cfg.Deployments() {
+			rooms[d.Name] = q.Rooms.Room(d)
 		}
 	}
+	now := q.Clock.Now()
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	for name, r := range rooms {
-		ln := q.lanes[name]
-		ln.slots, ln.busy, ln.then = r.slots, r.busy, ln.running
+	defer q.unlock()
+	for _, ln := range q.order {
+		ln.gate = ln.gate.WithRoom(now, rooms[ln.deployment], q.part())
 	}
-	q.pump(q.Clock.Now())
+	q.pump(now)
 }
 
-func (q *Queue[J]) slots() map[string]int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	each := make(map[string]int, len(q.lanes))
-	for name, ln := range q.lanes {
-		each[name] = ln.slotsEach
+// promptOf returns the prompt tokens that an engine reads for a request.
+func promptOf(r carrier.Request) float64 {
+	if r.Route.Kind != definer.Model {
+		return 0
+	}
+	return float64(r.PromptTokens)
+}
+
+// part returns this node's part of the demand of all nodes.
+func (q *Queue[J]) part() float64 {
+	own, others := 0.0, 0.0
+	for _, l := range q.ledgers {
+		own += l.LastSecond() + l.WaitingWork
+		others += l.Elsewhere.Done + l.Elsewhere.Waiting
 	}
-	return each
+	return admitter.Part(own, others, q.nodes)
 }
 
 // pump hands jobs to parked workers and sets the timer for the first deadline.
 func (q *Queue[J]) pump(now time.Time) {
 	for len(q.parked) > 0 {
-		it, ln, ok := q.take()
+		it, ln, ok := q.take(now)
 		if !ok {
 			break
 		}
 		e := it.Value
+		q.waiting--
+		if f, late := admitter.TooLate(now, it.Deadline, ln.pace.Service(e.output)); late {
+			q.ledgers[it.Account] = q.ledgers[it.Account].WithExpired(e.work, e.tokens)
+			ln.fair.Charge(it.Account, -e.work, 0)
+			q.doomed = append(q.doomed, refusal[J]{job: e.job, err: f})
+			continue
+		}
 		last := len(q.parked) - 1
 		wake := q.parked[last]
 		q.parked = q.parked[:last]
-		q.waiting--
 		ln.running++
-		q.running[e.job] = started{account: it.Account, lane: ln.deployment, work: e.work, tokens: e.tokens, at: now}
+		ln.gate = ln.gate.WithStarted(e.prompt)
+		q.running[e.job] = started{account: it.Account, lane: ln.deployment, work: e.work, tokens: e.tokens, output: e.output, at: now}
 		q.ledgers[it.Account] = q.ledgers[it.Account].WithStarted(now, e.work)
 		wake <- e.job
 	}
@@ -243,11 +272,12 @@
 }
 
 // take takes the next job of the lanes with room, in turns.
-func (q *Queue[J]) take() (it admitter.Item[entry[J]], ln *lane[J], ok bool) {
+func (q *Queue[J]) take(now time.Time) (it admitter.Item[entry[J]], ln *lane[J], ok bool) {
 	for range q.order {
 		q.turn = (q.turn + 1) % len(q.order)
 		ln = q.order[q.turn]
-		if ln.fair.Len() == 0 || !ln.hasRoom(q.nodes) {
+		ln.gate = ln.gate.WithTime(now)
+		if ln.fair.Len() == 0 || !ln.gate.Allows(ln.running) {
 			continue
 		}
 		it, ok = ln.fair.Next()
--- a/internal/request/queuer/queue_test.go
+++ b/internal/request/queuer/queue_test.go
@@ -41,11 +41,18 @@
 // world is what the queue asks of the rest of a node.
 type world struct {
 	slots, busy int
+	rate        float64
+	backlog     int
 	nodes       int
 	work        map[string]admitter.Elsewhere
 }
 
-func (w *world) Room(string, int) (int, int) { return w.slots, w.busy }
+func (w *world) Room(d definer.Deployment) admitter.Room {
+	if w.slots == 0 || d.Name == "n" {
+		return admitter.Room{}
+	}
+	return admitter.Room{Slots: w.slots, Requests: w.busy, PrefillRate: w.rate, Backlog: w.backlog}
+}
 
 func (w *world) Elsewhere() (int, map[string]admitter.Elsewhere) { return w.nodes, w.work }
 
@@ -98,8 +105,14 @@
 		td.ScanArgs(t, "slots", &s.w.slots)
 		td.ScanArgs(t, "busy", &s.w.busy)
 		td.MaybeScanArgs(t, "nodes", &s.w.nodes)
+		s.w.rate, s.w.backlog = 0, 0
+		td.MaybeScanArgs(t, "rate", &s.w.rate)
+		td.MaybeScanArgs(t, "backlog", &s.w.backlog)
 		s.q.Balance()
-		s.q.Wake()
+		for range count {
+			s.clock.Advance(250 * time.Millisecond)
+			s.q.Wake()
+		}
 	case "elsewhere":
 		var e admitter.Elsewhere
 		td.MaybeScanArgs(t, "done", &e.Done)
