--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -41,6 +41,8 @@
 	groups    keeper.Table[string, group]
 	// rebuilding orders rebuilds, so that the last has seen every change.
 	rebuilding sync.Mutex
+	// listed says that the platform's list was read once.
+	listed keeper.Cell[bool]
 	// rounds counts rounds of reports, to take turns among the endpoints.
 	rounds keeper.Cell[int]
 }
--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -48,9 +48,13 @@
 	}
 	o.setOrder(ids)
 	o.rebuildStale()
+	o.listed.Update(func(bool) (bool, bool) { return true, true })
 	return nil
 }
 
+// Listed reports whether the platform's list was read since the start.
+func (o *Observer) Listed() bool { return o.listed.Get() }
+
 // setOrder takes over the order of the list in each deployment.
 func (o *Observer) setOrder(ids map[string][]string) {
 	var names []string
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -107,8 +107,13 @@
 	if n.stopping.Load() {
 		return coder.Refuse(coder.ShuttingDown, "the node is shutting down").WithRetryAfter(time.Second)
 	}
-	_, err := n.applier.Config()
-	return err
+	if _, err := n.applier.Config(); err != nil {
+		return err
+	}
+	if !n.observer.Listed() {
+		return coder.Refuse(coder.NoEndpoint, "the node has not read the list of endpoints").WithRetryAfter(time.Second)
+	}
+	return nil
 }
 
 // Run serves until ctx is done, then finishes what runs and returns.
