--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -29,7 +29,6 @@
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
-	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
@@ -47,9 +46,9 @@
 	queue      *queuer.Queue[*dispatcher.Job]
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
-	claims     *claimer.Claimer
 	membership membership
 	stopping   atomic.Bool
+	requestParts
 
 	callers   net.Listener
 	operators net.Listener
@@ -111,6 +110,9 @@
 	if _, err := n.applier.Config(); err != nil {
 		return err
 	}
+	if !n.observer.Listed() {
+		return coder.Refuse(coder.NoEndpoint, "the node has not read the list of endpoints").WithRetryAfter(time.Second)
+	}
 	return n.applier.Counted()
 }
 
