--- a/internal/lab/measurer/acceptance.go
+++ b/internal/lab/measurer/acceptance.go
@@ -1,7 +1,3 @@
-// Package measurer measures the system on one machine.
-//
-// Each experiment is bounded in time and prints what it measured, with what is
-// needed to repeat it.
 package measurer
 
 import (
