--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -60,7 +60,7 @@
 // New builds a node and opens its listeners.
 func New(s configurer.Settings, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, clock: clock, log: log.With().Str("node", s.ID).Logger()}
-	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: &http.Transport{}}
+	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: transportFrom(s.SourceAddress)}
 	n.applier = &applier.Applier{Clock: clock, Table: platform}
 	n.observer = &observer.Observer{
 		Clock:   clock,
--- a/internal/node/assembler/membership.go
+++ b/internal/node/assembler/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
 	"google.golang.org/grpc"
@@ -76,6 +77,16 @@
 	return nil
 }
 
+// transportFrom returns an HTTP transport whose connections have a local IP;
+// empty means any.
+func transportFrom(source string) *http.Transport {
+	if source == "" {
+		return &http.Transport{}
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	return &http.Transport{DialContext: d.DialContext}
+}
+
 // fillState adds to a statement of this node what its other parts state.
 func (n *Node) fillState(s messenger.State) messenger.State {
 	if n.membership.work != nil {
