--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -36,6 +36,7 @@
 	root.AddCommand(measureCommand())
 	root.AddCommand(standInCommands()...)
 	root.AddCommand(relayCommand())
+	root.AddCommand(membershipCommands()...)
 	return root
 }
 
