--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -84,12 +85,17 @@
 	Answer   Answer
 }
 
+// waiting is the number of requests that wait for a claim.
+var waiting = expvar.NewInt("claims-waiting")
+
 // takeTries bounds the attempts to replace a row that no longer counts.
 const takeTries = 3
 
 // Take claims the key for a request; an error says whether another request
 // with the key may have run.
 func (c *Claimer) Take(ctx context.Context, a Ask) (Taken, error) {
+	waiting.Add(1)
+	defer waiting.Add(-1)
 	now := c.Clock.Now()
 	record := Record{
 		Node:     c.Node,
--- a/internal/usage/counter/counter.go
+++ b/internal/usage/counter/counter.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"expvar"
 	"slices"
 	"sync"
 
@@ -30,6 +31,17 @@
 	return p
 }
 
+// requests returns the number of requests in the piece.
+func (p Piece) requests() (n int64) {
+	for _, f := range p.Figures {
+		n += f.Requests
+	}
+	return n
+}
+
+// uncopied is the number of requests whose usage a kill would lose.
+var uncopied = expvar.NewInt("usage-uncopied")
+
 // Counter counts usage and keeps it until it is sealed.
 //
 // The zero value is empty. The open figures are a plain map under one lock: a
@@ -52,6 +64,7 @@
 	}
 	k := subject{account: f.Account, model: f.Model}
 	c.open[k] = add(f, c.open[k])
+	uncopied.Add(f.Requests)
 }
 
 func add(f, g transactor.Figures) transactor.Figures {
@@ -90,6 +103,9 @@
 	defer c.mu.Unlock()
 	for i, p := range c.pieces {
 		if p.Sequence == sequence {
+			if p.Keeper == "" {
+				uncopied.Add(-p.requests())
+			}
 			c.pieces[i] = p.WithKeeper(peer)
 		}
 	}
@@ -99,7 +115,12 @@
 func (c *Counter) Sealed(upTo uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pieces = slices.DeleteFunc(c.pieces, func(p Piece) bool { return p.Sequence <= upTo })
+	c.pieces = slices.DeleteFunc(c.pieces, func(p Piece) bool {
+		if p.Sequence <= upTo && p.Keeper == "" {
+			uncopied.Add(-p.requests())
+		}
+		return p.Sequence <= upTo
+	})
 }
 
 // Sum adds figures up by client account and model, in their order.
