front: fuzz tests of what callers send

Each parser refuses with its code and as not run, or gives a value within its bounds; a body that is sent on with the usage asked for reads the same.

--- /dev/null
+++ b/internal/front/decoder/fuzz_test.go
@@ -0,0 +1,48 @@
+package decoder_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/front/decoder"
+)
+
+// FuzzChat guards the parser of callers' bodies: whatever comes is refused as
+// not run, or can be sent on with the usage asked for and nothing else changed.
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[]}`))
+	f.Fuzz(func(t *testing.T, body []byte) { check(t, body, decoder.DecodeChat) })
+}
+
+// FuzzCompletion guards the same for the older form.
+func FuzzCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p"}`))
+	f.Fuzz(func(t *testing.T, body []byte) { check(t, body, decoder.DecodeCompletion) })
+}
+
+func check(t *testing.T, body []byte, decode func([]byte) (decoder.Prompt, error)) {
+	p, err := decode(body)
+	if err != nil {
+		if f := coder.Of(err); f.Outcome() != coder.NotRun || f.Code() != coder.MalformedBody {
+			t.Fatalf("refused with %d %s", f.Code(), f.Outcome())
+		}
+		return
+	}
+	if p.Model == "" || p.Tokens() < 1 || p.MaxTokens < 0 {
+		t.Fatalf("accepted with model %q, %d tokens, at most %d", p.Model, p.Tokens(), p.MaxTokens)
+	}
+	sent := p.BodyWithUsage()
+	if !jx.Valid(sent) {
+		t.Fatalf("sent on as %q", sent)
+	}
+	again, err := decode(sent)
+	if err != nil {
+		t.Fatalf("sent on as %q: %v", sent, err)
+	}
+	if again.Model != p.Model || again.Stream != p.Stream || again.MaxTokens != p.MaxTokens || !again.IncludeUsage || !bytes.Equal(again.Text, p.Text) {
+		t.Fatalf("sent on as %q, which reads otherwise", sent)
+	}
+}
