--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/jx"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	command "foxtailflow.example/foxtailflow/internal/command/starter"
@@ -41,14 +42,15 @@
 			"body":      cmdBody,
 			"exits":     cmdExits,
 			"expand":    cmdExpand,
+			"field":     cmdField,
 			"finish":    cmdFinish,
 			"holder":    cmdHolder,
 			"judge":     cmdJudge,
 			"port":      cmdPort,
 			"reported":  cmdReported,
+			"request":   cmdRequest,
 			"same-text": cmdSameText,
 			"serving":   cmdServing,
-			"request":   cmdRequest,
 			"signal":    cmdSignal,
 			"start":     cmdStart,
 			"stream":    cmdStream,
@@ -147,6 +149,20 @@
 	}
 }
 
+// cmdField sets a variable to a text field of a JSON object: field VARIABLE NAME FILE.
+func cmdField(ts *testscript.TestScript, _ bool, args []string) {
+	value := ""
+	err := jx.DecodeStr(ts.ReadFile(args[2])).Obj(func(d *jx.Decoder, name string) (err error) {
+		if name != args[1] {
+			return d.Skip()
+		}
+		value, err = d.Str()
+		return err
+	})
+	ts.Check(err)
+	ts.Setenv(args[0], value)
+}
+
 // cmdStart starts a program under a name: start NAME PROGRAM ARGS...
 //
 // Its output goes to the file NAME.log when the script ends.
