lab: measure outcomes and the latency of a node; keep connections of streams

What callers are told was not compared with what ran, and the time that a node adds was not known.

measure-outcomes sends orders and model requests without faults, with changing faults and while nodes are stopped in turn, and compares the callers' record with the counts of runs and with the reports received. measure-latency sends calls through a node and directly in the same run. The first runs showed that the connection to an engine was closed after each stream, because its end was not read after the end mark; it is now, for at most 20 ms.

--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
@@ -61,6 +62,7 @@
 	servers []*http.Server
 	// serving waits for the stand-ins' servers.
 	serving conc.WaitGroup
+	running keeper.Table[int, running]
 }
 
 // New starts a world and returns once every node is ready.
@@ -162,31 +164,69 @@
 
 func (w *World) startNodes() error {
 	for i := range w.plan.Nodes {
-		s := configurer.Settings{
-			ID:              fmt.Sprintf("node-%d", i+1),
-			DataCentre:      w.plan.DataCentres[i%len(w.plan.DataCentres)],
-			CallersListen:   "127.0.0.1:0",
-			OperatorsListen: "127.0.0.1:0",
-			PeersListen:     "127.0.0.1:0",
-			Platform:        w.base,
-			PlatformTimeout: 2 * time.Second,
-			PlatformLimit:   connectionLimit,
-			OperatorHash:    authenticator.Hash(w.plan.OperatorSecret),
-			Workers:         256,
-			ConnectWait:     500 * time.Millisecond,
-			LoadEvery:       100 * time.Millisecond,
-			LeaveWait:       10 * time.Millisecond,
-		}
-		n, err := assembler.New(s, w.clock, w.plan.Log)
+		n, err := w.startNode(i, "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
 		w.Nodes = append(w.Nodes, n)
-		w.wg.Go(func() { _ = n.Run(w.ctx) })
 	}
 	return nil
 }
 
+func (w *World) startNode(i int, callers string) (*assembler.Node, error) {
+	s := configurer.Settings{
+		ID:              fmt.Sprintf("node-%d", i+1),
+		DataCentre:      w.plan.DataCentres[i%len(w.plan.DataCentres)],
+		CallersListen:   callers,
+		OperatorsListen: "127.0.0.1:0",
+		PeersListen:     "127.0.0.1:0",
+		Platform:        w.base,
+		PlatformTimeout: 2 * time.Second,
+		PlatformLimit:   connectionLimit,
+		OperatorHash:    authenticator.Hash(w.plan.OperatorSecret),
+		Workers:         256,
+		ConnectWait:     500 * time.Millisecond,
+		LoadEvery:       100 * time.Millisecond,
+		LeaveWait:       10 * time.Millisecond,
+	}
+	n, err := assembler.New(s, w.clock, w.plan.Log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	ended := make(chan struct{})
+	w.running.Put(i, running{stop: stop, ended: ended})
+	w.wg.Go(func() {
+		defer close(ended)
+		_ = n.Run(ctx)
+	})
+	return n, nil
+}
+
+// running is a node that was started.
+type running struct {
+	stop  context.CancelFunc
+	ended <-chan struct{}
+}
+
+// Restart stops a node gracefully and starts another one at the same address
+// for callers; it returns once that is ready.
+func (w *World) Restart(node int) error {
+	address := w.Nodes[node].CallersAddress()
+	r, _ := w.running.Get(node)
+	r.stop()
+	<-r.ended
+	n, err := w.startNode(node, address)
+	if err != nil {
+		return err
+	}
+	w.Nodes[node] = n
+	return w.awaitReady()
+}
+
+// PlatformAddress returns the base address of the platform.
+func (w *World) PlatformAddress() string { return w.base }
+
 func (w *World) awaitReady() error {
 	const (
 		tries = 200
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -34,6 +34,7 @@
 	}
 	root.AddCommand(demoCommand())
 	root.AddCommand(measureCommand())
+	root.AddCommand(outcomesCommand(), latencyCommand())
 	root.AddCommand(standInCommands()...)
 	root.AddCommand(relayCommand())
 	return root
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -29,6 +29,11 @@
 	pieceSize = 32 << 10
 	// maxEvent bounds one line of an event stream, in bytes.
 	maxEvent = 1 << 20
+	// drainWait and drainLimit bound the wait for the end of a stream after its
+	// end mark. Without that end the connection to the engine cannot be kept,
+	// and the next request has to dial.
+	drainWait  = 20 * time.Millisecond
+	drainLimit = 1 << 10
 )
 
 func (r *relay) begin(ctx context.Context, resp *http.Response) error {
@@ -123,6 +128,10 @@
 			continue
 		}
 		done, err := r.event(ctx, resp, data)
+		if done {
+			r.watch.within(drainWait)
+			_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
+		}
 		if done || err != nil {
 			return err
 		}
@@ -202,4 +211,7 @@
 
 func (w watchdog) progress() { w.timer.Reset(w.limit) }
 
+// within cancels the attempt after a shorter time.
+func (w watchdog) within(d time.Duration) { w.timer.Reset(d) }
+
 func (w watchdog) stop() { w.timer.Stop() }
