forecaster: no overshoot of a step in demand

Cause: the trend outlived a swing, and the level ran far below the demand after it; the balancer took the last engines from a phase that still needed them. Change: the trend fades with the damping time and follows the level four times slower.

--- a/internal/decision/forecaster/forecaster.go
+++ b/internal/decision/forecaster/forecaster.go
@@ -36,8 +36,9 @@
 	// levelTime smooths the arrivals of single long prompts; a swing takes a
 	// minute or more, so ten seconds still follow it.
 	levelTime = 10 * time.Second
-	// trendTime keeps noise of the level out of the trend.
-	trendTime = 20 * time.Second
+	// trendTime keeps noise of the level out of the trend. It is four times the
+	// time of the level: with less the level swings beyond a step of the demand.
+	trendTime = 40 * time.Second
 	// damping is the time over which a trend is expected to fade.
 	damping = 20 * time.Second
 )
@@ -68,9 +69,10 @@
 	}
 	s := dt.Seconds()
 	a, b := weight(dt, levelTime), weight(dt, trendTime)
-	expected := f.level.Add(f.trend.Scale(s))
+	trendNow := f.trend.Scale(1 - weight(dt, damping))
+	expected := f.level.Add(trendNow.Scale(s)).Max(Demand{})
 	level := mix(expected, d, a)
-	trend := mix(f.trend, level.Add(f.level.Scale(-1)).Scale(1/s), b)
+	trend := mix(trendNow, level.Add(f.level.Scale(-1)).Scale(1/s), b)
 	off := Demand{Prefill: math.Abs(d.Prefill - expected.Prefill), Decode: math.Abs(d.Decode - expected.Decode)}
 	return Forecast{at: at, level: level, trend: trend, spread: mix(f.spread, off, b), seen: f.seen + 1}
 }
