--- a/internal/decision/admitter/admitter_test.go
+++ b/internal/decision/admitter/admitter_test.go
@@ -183,7 +183,7 @@
 	td.MaybeScanArgs(t, "service", &service)
 	for range count {
 		*now = now.Add(time.Duration(every * float64(time.Second)))
-		*p = p.WithDone(*now, work, output, time.Duration(service*float64(time.Second)), !td.HasArg("slack"))
+		*p = p.WithDone(*now, work, !td.HasArg("slack")).WithTime(output, time.Duration(service*float64(time.Second)), !td.HasArg("given-up"))
 	}
 	return fmt.Sprintf("rate %.0f, wait for 1000 %v, service %v\n", p.Rate(), p.Wait(1000).Round(time.Millisecond), p.Service(output).Round(time.Millisecond))
 }
--- a/internal/decision/admitter/pace.go
+++ b/internal/decision/admitter/pace.go
@@ -28,9 +28,16 @@
 	serviceShare = 0.02
 )
 
-// WithDone returns the pace after a request of the given work and estimated
-// output that ran for d; waiting says whether others wait.
-func (p Pace) WithDone(now time.Time, work, output float64, d time.Duration, waiting bool) Pace {
+// WithTime returns the pace after a request with the given estimate of its
+// output that ran for d; whole says that its answer was whole.
+//
+// A request that was given up would have taken longer than it did, so it counts
+// only if it already took longer than expected: the others' short times would
+// let more requests start too late.
+func (p Pace) WithTime(output float64, d time.Duration, whole bool) Pace {
+	if !whole && d <= p.Service(output) {
+		return p
+	}
 	y, w := d.Seconds(), serviceShare
 	if !p.seen {
 		p.seen, w = true, 1
@@ -39,6 +46,12 @@
 	p.time += w * (y - p.time)
 	p.square += w * (output*output - p.square)
 	p.product += w * (output*y - p.product)
+	return p
+}
+
+// WithDone returns the pace after a request of the given work; waiting says
+// whether others wait.
+func (p Pace) WithDone(now time.Time, work float64, waiting bool) Pace {
 	if p.since.IsZero() {
 		p.since, p.slack = now, !waiting
 		return p
--- a/internal/lab/measurer/node.go
+++ b/internal/lab/measurer/node.go
@@ -243,10 +243,10 @@
 }
 
 // end finishes a job for the queue.
-func (n *node) end(j *job) {
+func (n *node) end(j *job, err error) {
 	j.over = true
 	n.running--
-	n.queue.Done(j, carrier.Result{Usage: carrier.Usage{
+	n.queue.Done(j, carrier.Result{Err: err, Usage: carrier.Usage{
 		PromptTokens: int64(j.prompt), OutputTokens: int64(math.Round(j.produced)),
 	}})
 }
--- a/internal/lab/measurer/run.go
+++ b/internal/lab/measurer/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
@@ -243,10 +244,12 @@
 		r.count.good++
 		r.count.tokens += float64(j.output)
 		r.entitle(t, j, 1)
-		j.node.end(j)
+		j.node.end(j, nil)
 	}
 }
 
+var errLate = coder.New(coder.DeadlinePassed, "the deadline has passed")
+
 // giveUp ends the jobs in work whose deadline has come.
 func (r *run) giveUp(t time.Duration) {
 	r.jobs = slices.DeleteFunc(r.jobs, func(j *job) bool {
@@ -266,7 +269,7 @@
 			j.node.left(j, false)
 		}
 		r.count.late++
-		j.node.end(j)
+		j.node.end(j, errLate)
 		return true
 	})
 }
--- a/internal/request/queuer/lane.go
+++ b/internal/request/queuer/lane.go
@@ -68,8 +68,9 @@
 	q.ledgers[s.account] = q.ledgers[s.account].WithEnded(now, work-s.work, tokens-s.tokens, output)
 	ln.fair.Charge(s.account, work-s.work, ln.lead())
 	if work > 0 {
-		ln.pace = ln.pace.WithDone(now, work, s.output, now.Sub(s.at), ln.fair.Len() > 0)
+		ln.pace = ln.pace.WithDone(now, work, ln.fair.Len() > 0)
 	}
+	ln.pace = ln.pace.WithTime(s.output, now.Sub(s.at), result.Err == nil)
 	q.pump(now)
 }
 
--- a/internal/request/queuer/queue_test.go
+++ b/internal/request/queuer/queue_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
@@ -98,7 +99,11 @@
 		return s.next(t, count)
 	case "done":
 		for range count {
-			s.q.Done(s.started[0], carrier.Result{Usage: carrier.Usage{PromptTokens: 100, OutputTokens: 10}})
+			r := carrier.Result{Usage: carrier.Usage{PromptTokens: 100, OutputTokens: 10}}
+			if td.HasArg("given-up") {
+				r.Err = coder.New(coder.DeadlinePassed, "the deadline has passed")
+			}
+			s.q.Done(s.started[0], r)
 			s.started = s.started[1:]
 		}
 	case "room":
