admitter: start a request only with a margin of time

Change: a quarter more than the expected time must be left. The script for the time of given-up requests fails without its rule: 'pace ... service=3 given-up' (testdata/limits) then shows a shorter service time.

--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -79,15 +79,16 @@
 	return coder.Refuse(code, format, args...).WithRetryAfter(min(max(retry, minRetry), maxRetry))
 }
 
-// hopeful is the part of the expected service time for which a request is
-// still started: half of the requests take less than the mean.
-const hopeful = 0.8
+// margin is how much more than the expected time must be left to start a
+// request: answers differ in length, and one that is given up at its deadline
+// has used an engine for nothing while others waited.
+const margin = 1.25
 
 // TooLate returns the refusal of a request whose turn has come, and whether it
 // is refused: work on it would be lost, and other requests would wait for it.
 func TooLate(now, deadline time.Time, service time.Duration) (coder.Error, bool) {
 	left := deadline.Sub(now)
-	if float64(left) >= hopeful*float64(service) {
+	if float64(left) >= margin*float64(service) {
 		return coder.Error{}, false
 	}
 	return refuse(coder.WouldMissTime, fullRetry, "the work of about %v is longer than the time left, %v",
