balancer: no role change for less than 4% of the demand

Cause: changes that won 2% of the demand were made although the forecast is not that exact. Change: the smallest gain is 4% while a ratio lasts.

--- a/internal/decision/balancer/balancer.go
+++ b/internal/decision/balancer/balancer.go
@@ -33,8 +33,8 @@
 	// defaultConfirm is longer than a burst of a few long prompts.
 	defaultConfirm = 3 * time.Second
 	defaultMargin  = 1.5
-	// defaultLeast keeps engines from moving for a hundredth of the demand.
-	defaultLeast = 0.02
+	// defaultLeast keeps engines from moving for a few hundredths of the demand.
+	defaultLeast = 0.04
 	// headroom is the capacity wanted above the mean demand: arrivals are
 	// random, and a phase used fully has unbounded queues.
 	headroom = 1.25
