--- /dev/null
+++ b/internal/decision/planner/bench_test.go
@@ -0,0 +1,34 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/planner"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// BenchmarkPlan measures one plan of one deployment by its number of workers.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ workers, dataCentres int }{{12, 4}, {923, 24}, {12_000, 24}} {
+		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
+			s := planner.State{Need: float64(size.workers)}
+			for i := range size.dataCentres {
+				dc := fmt.Sprintf("dc-%d", i)
+				s.Deployment.Placements = append(s.Deployment.Placements,
+					definer.Placement{DataCentre: dc, Tier: transactor.OnDemand, Max: size.workers, Cost: 1000},
+					definer.Placement{DataCentre: dc, Tier: transactor.Spot, Max: size.workers / size.dataCentres, Cost: 400})
+			}
+			for i := range size.workers {
+				s.Endpoints = append(s.Endpoints, planner.Endpoint{
+					ID: fmt.Sprint(i), DataCentre: fmt.Sprintf("dc-%d", i%size.dataCentres), Tier: transactor.Spot,
+				})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Surviving{}.Plan(s)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/observer/bench_test.go
@@ -0,0 +1,78 @@
+package observer_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// BenchmarkTable measures the endpoint table by the number of workers: the two
+// changes that each attempt makes, a whole list, and one round of reports
+// without the network. It reports the memory of the table.
+func BenchmarkTable(b *testing.B) {
+	for _, workers := range []int{12, 1200, 12_000} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		o, w := benchObserver(b, workers)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		bytes := float64(after.HeapAlloc - before.HeapAlloc)
+		b.Run(fmt.Sprintf("attempt/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			rule := definer.DefaultRule("d")
+			i := 0
+			for b.Loop() {
+				i++
+				id := w.vms[i%workers].ID
+				o.Sent(id, 500)
+				o.Done(id, 500, true, rule)
+			}
+			b.ReportMetric(bytes, "table-bytes")
+		})
+		b.Run(fmt.Sprintf("list/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := o.RefreshList(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("reports/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := o.RefreshLoad(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func benchObserver(b *testing.B, workers int) (*observer.Observer, *world) {
+	w := &world{loads: make(map[string]speaker.Load)}
+	for i := range workers {
+		id := fmt.Sprintf("engine-%d", i)
+		w.vms = append(w.vms, transactor.VM{
+			ID: id, Address: id, DataCentre: fmt.Sprintf("dc-%d", i%24), Deployment: fmt.Sprintf("m-%d", i%13), State: transactor.Live,
+		})
+		w.loads[id] = speaker.Load{InFlight: i % 7, Role: "both"}
+	}
+	o := &observer.Observer{Clock: timekeeper.System{}, Log: zerolog.Nop(), VMs: w, Engines: speaker.Client{Transport: w}, ReportLag: 2 * time.Second}
+	if err := o.RefreshList(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	if err := o.RefreshLoad(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	return o, w
+}
