observer, planner: cost at 12,000 workers

Cause: a round of reports copied and sorted the whole endpoint table, a list rewrote each row, and a plan summed all placements for each endpoint. Change: a round reads only the endpoints whose turn it is; a list writes only rows that differ, and its time is kept once; the planner keeps its sums and tries at most 64 steps.

--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -62,8 +62,6 @@
 	DataCentre string
 	Deployment string
 	Tier       transactor.Tier
-	// Listed is when the platform's list that names the endpoint was made.
-	Listed time.Time
 	// Leaving says that the platform's list marks the VM as leaving, or that
 	// the list no longer has it.
 	Leaving bool
--- a/internal/decision/planner/planner.go
+++ b/internal/decision/planner/planner.go
@@ -39,6 +39,9 @@
 	// shrinkShare limits what is given back at once: a wrong forecast must not
 	// cost more than can be carried until an order arrives.
 	shrinkShare = 0.1
+	// maxTrials bounds the trials of one plan; in a large fleet a few endpoints
+	// more or less in a data centre change the cost by little.
+	maxTrials = 64
 	// maxRejected bounds a decision line for a large fleet.
 	maxRejected = 16
 )
@@ -144,7 +147,8 @@
 			limit = max(limit, t.cap())
 		}
 	}
-	for k := 0; k <= min(limit, need); k++ {
+	limit = min(limit, need)
+	for k := 0; k <= limit; k += max(limit/maxTrials, 1) {
 		fill(slots, need, k)
 		short, c := max(need-survivors(slots), 0), cost(slots)
 		if short < bestShort || short == bestShort && c < bestCost {
@@ -165,12 +169,17 @@
 	for i, t := range slots {
 		slots[i].target = min(t.Min, max(t.cap(), t.have))
 	}
-	for survivors(slots) < need {
+	total, worst := sums(slots)
+	for total-worst < need {
 		i := next(slots, k)
 		if i < 0 {
 			return
 		}
 		slots[i].target++
+		total++
+		if slots[i].Tier == transactor.Spot {
+			worst = max(worst, slots[i].target)
+		}
 	}
 }
 
@@ -206,14 +215,19 @@
 
 // survivors returns the endpoints left after the worst loss of cheap ones.
 func survivors(slots []slot) int {
-	total, worst := 0, 0
+	total, worst := sums(slots)
+	return total - worst
+}
+
+// sums returns all endpoints, and the most cheap ones of a data centre.
+func sums(slots []slot) (total, worst int) {
 	for _, t := range slots {
 		total += t.target
 		if t.Tier == transactor.Spot {
 			worst = max(worst, t.target)
 		}
 	}
-	return total - worst
+	return total, worst
 }
 
 func cost(slots []slot) int {
--- a/internal/fleet/observer/bench_test.go
+++ b/internal/fleet/observer/bench_test.go
@@ -71,8 +71,12 @@
 	if err := o.RefreshList(b.Context()); err != nil {
 		b.Fatal(err)
 	}
-	if err := o.RefreshLoad(b.Context()); err != nil {
-		b.Fatal(err)
+	// The first report of an endpoint tells its role, which rebuilds the
+	// candidates; a node that has run for a while has all roles.
+	for range workers/256 + 1 {
+		if err := o.RefreshLoad(b.Context()); err != nil {
+			b.Fatal(err)
+		}
 	}
 	return o, w
 }
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -41,8 +41,7 @@
 	groups    keeper.Table[string, group]
 	// rebuilding orders rebuilds, so that the last has seen every change.
 	rebuilding sync.Mutex
-	// rounds counts rounds of reports, to take turns among the endpoints.
-	rounds keeper.Cell[int]
+	list       keeper.Cell[list]
 }
 
 // group is what is kept of one deployment; it is an immutable value.
@@ -276,8 +275,7 @@
 
 // RefreshLoad asks endpoints for their load reports.
 func (o *Observer) RefreshLoad(ctx context.Context) error {
-	o.askAll(ctx)
-	o.markUnconfirmed()
+	o.askSome(ctx)
 	o.rebuildStale()
 	if o.OnRefresh != nil {
 		o.OnRefresh()
--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -26,31 +26,69 @@
 	if err != nil {
 		return err
 	}
-	listed := make(map[string]bool, len(vms))
 	ids := make(map[string][]string)
+	listed := make(map[string]bool, len(vms))
 	made := o.Clock.Now().Add(-age)
+	o.list.Update(func(l list) (list, bool) { return l.with(made, vms), true })
 	for _, v := range vms {
 		listed[v.ID] = true
 		ids[v.Deployment] = append(ids[v.Deployment], v.ID)
-		o.update(v.ID, func(e picker.Endpoint, _ bool) (picker.Endpoint, bool) {
-			e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
-			e.Deployment, e.Tier = v.Deployment, v.Tier
-			if made.After(e.Listed) {
-				e.Listed = made
-			}
-			return e.WithLeaving(v.State == transactor.Leaving), true
-		})
+		if e, ok := o.Table.Get(v.ID); !ok || e != withVM(e, v) {
+			o.update(v.ID, func(e picker.Endpoint, _ bool) (picker.Endpoint, bool) { return withVM(e, v), true })
+		}
 	}
-	for _, e := range o.Table.Values() {
-		if !listed[e.ID] {
-			o.forget(e)
+	var gone []picker.Endpoint
+	o.Table.Each(func(id string, e picker.Endpoint) bool {
+		if !listed[id] {
+			gone = append(gone, e)
 		}
+		return true
+	})
+	for _, e := range gone {
+		o.forget(e)
 	}
 	o.setOrder(ids)
 	o.rebuildStale()
 	return nil
 }
 
+// withVM returns an endpoint with what the list says of it.
+func withVM(e picker.Endpoint, v transactor.VM) picker.Endpoint {
+	e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
+	e.Deployment, e.Tier = v.Deployment, v.Tier
+	return e.WithLeaving(v.State == transactor.Leaving)
+}
+
+// list is the platform's list as far as it is kept beside the rows; it is an
+// immutable value.
+type list struct {
+	// made is when the newest list was made.
+	made time.Time
+	ids  []string
+	// round counts rounds of reports, to take turns among the endpoints.
+	round int
+}
+
+// with returns the list with new entries.
+func (l list) with(made time.Time, vms []transactor.VM) list {
+	if made.After(l.made) {
+		l.made = made
+	}
+	l.ids = make([]string, 0, len(vms))
+	for _, v := range vms {
+		l.ids = append(l.ids, v.ID)
+	}
+	return l
+}
+
+// turn returns the endpoints of the next round and the number of rounds that
+// it takes to ask all.
+func (l list) turn() (ids []string, turns int) {
+	turns = max((len(l.ids)+reportsPerRound-1)/reportsPerRound, 1)
+	first := l.round % turns * reportsPerRound
+	return l.ids[first:min(first+reportsPerRound, len(l.ids))], turns
+}
+
 // setOrder takes over the order of the list in each deployment.
 func (o *Observer) setOrder(ids map[string][]string) {
 	var names []string
@@ -89,35 +127,24 @@
 	reportsPerRound = 256
 )
 
-// askAll asks the endpoints whose turn it is.
-func (o *Observer) askAll(ctx context.Context) {
-	endpoints := o.Table.Values()
-	if len(endpoints) > reportsPerRound {
-		endpoints = o.turn(endpoints)
-	}
+// askSome asks the endpoints whose turn it is, and marks those of them that are
+// unconfirmed.
+func (o *Observer) askSome(ctx context.Context) {
+	var l list
+	o.list.Update(func(now list) (list, bool) {
+		l = now
+		now.round++
+		return now, true
+	})
+	ids, turns := l.turn()
 	p := pool.New().WithMaxGoroutines(concurrentReports)
-	for _, e := range endpoints {
-		p.Go(func() { o.refreshOne(ctx, e) })
+	for _, id := range ids {
+		if e, ok := o.Table.Get(id); ok {
+			p.Go(func() { o.refreshOne(ctx, e) })
+		}
 	}
 	p.Wait()
-}
-
-// turn returns the endpoints of this round.
-func (o *Observer) turn(endpoints []picker.Endpoint) []picker.Endpoint {
-	slices.SortFunc(endpoints, func(a, b picker.Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	round := 0
-	o.rounds.Update(func(n int) (int, bool) {
-		round = n
-		return n + 1, true
-	})
-	turns := (len(endpoints) + reportsPerRound - 1) / reportsPerRound
-	first := round % turns * reportsPerRound
-	return endpoints[first:min(first+reportsPerRound, len(endpoints))]
+	o.markUnconfirmed(ids, l.made, turns)
 }
 
 func (o *Observer) refreshOne(ctx context.Context, e picker.Endpoint) {
@@ -147,15 +174,15 @@
 
 // markUnconfirmed marks endpoints of which neither the list nor a report is
 // recent: they may be gone without this node having heard of it.
-func (o *Observer) markUnconfirmed() {
+func (o *Observer) markUnconfirmed(ids []string, made time.Time, turns int) {
 	now := o.Clock.Now()
-	turns := time.Duration(o.Table.Len()/reportsPerRound + 1)
-	for _, e := range o.Table.Values() {
-		old := now.Sub(e.Listed) > listTrusted && now.Sub(e.Report.At) > reportTrusted*turns
+	for _, id := range ids {
+		e, _ := o.Table.Get(id)
+		old := now.Sub(made) > listTrusted && now.Sub(e.Report.At) > reportTrusted*time.Duration(turns)
 		if old == e.Unconfirmed {
 			continue
 		}
-		o.update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+		o.update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
 			return e.WithUnconfirmed(old), ok
 		})
 	}
--- a/internal/request/queuer/queue_test.go
+++ b/internal/request/queuer/queue_test.go
@@ -57,15 +57,17 @@
 
 func (w *world) Elsewhere() (int, map[string]admitter.Elsewhere) { return w.nodes, w.work }
 
-func (w *world) Config() (definer.Config, error) {
+func (w *world) Config() (definer.Config, error) { return config, nil }
+
+var config = func() definer.Config {
 	limits := definer.DefaultLimits()
 	limits.MaxQueue = 40
 	return definer.New(definer.Definitions{
 		Accounts:    []definer.Account{{Name: "big", Share: 1}, {Name: "small", Share: 1}, {Name: "few", Share: 1, MaxConcurrent: 2}},
 		Deployments: []definer.Deployment{{Name: "m", Slots: 4}, {Name: "n", Slots: 4}},
 		Limits:      limits,
-	}), nil
-}
+	})
+}()
 
 // script runs a queue by hand: Next is called only when a job is ready.
 type script struct {
