--- a/internal/decision/balancer/balancer.go
+++ b/internal/decision/balancer/balancer.go
@@ -196,13 +196,13 @@
 		reason := p.exclude(s, e, c)
 		switch {
 		case reason != "":
-			d.Rejected = append(d.Rejected, Rejected{Engine: e.ID, Reason: reason})
+			d = d.withRejected(e.ID, reason)
 			continue
 		case chosen >= 0 && e.InFlight >= s.Engines[chosen].InFlight:
-			d.Rejected = append(d.Rejected, Rejected{Engine: e.ID, Reason: ReasonMoreBusy})
+			d = d.withRejected(e.ID, ReasonMoreBusy)
 			continue
 		case chosen >= 0:
-			d.Rejected = append(d.Rejected, Rejected{Engine: s.Engines[chosen].ID, Reason: ReasonMoreBusy})
+			d = d.withRejected(s.Engines[chosen].ID, ReasonMoreBusy)
 		}
 		chosen = i
 	}
--- a/internal/decision/balancer/state.go
+++ b/internal/decision/balancer/state.go
@@ -105,3 +105,14 @@
 	// Wanted goes into the next State.
 	Wanted Wanted
 }
+
+// maxRejected bounds a decision line for a large deployment.
+const maxRejected = 16
+
+// withRejected returns a copy that names one more engine, up to the bound.
+func (d Decision) withRejected(engine string, reason Reason) Decision {
+	if len(d.Rejected) < maxRejected {
+		d.Rejected = append(d.Rejected, Rejected{Engine: engine, Reason: reason})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/decision/explainer/bench_test.go
@@ -0,0 +1,24 @@
+package explainer_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+)
+
+// BenchmarkLogRouting measures the line of one choice with 16 endpoints out.
+func BenchmarkLogRouting(b *testing.B) {
+	log := zerolog.New(io.Discard)
+	c := picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: "engine-1"}, Reason: "less loaded of two"}
+	for range 16 {
+		c.Out = append(c.Out, picker.Rejected{Endpoint: "engine-2", Reason: picker.ReasonDraining})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		explainer.LogRouting(log, "req-0f", "baden", "wichse-llm", c)
+	}
+}
