--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -87,19 +88,34 @@
 	return b.b.String()
 }
 
-// Ports of scripts are below the range from which the system takes the source
-// ports of connections: a port from that range can be taken by any connection
-// between the script's choice and the start of the program that listens there.
+// The ports of scripts lie below the range from which the kernel takes ports of
+// outgoing connections: a port of that range can be taken between its choice
+// and the start of the program that is to listen there. Each test process
+// begins in a block of its own.
 const (
-	firstPort = 20_000
-	lastPort  = 32_000
+	firstPort  = 10_000
+	portBlocks = 100
+	blockSize  = 200
+	lastPort   = 32_000
 )
 
-// nextPort counts the ports given out; test processes that run at the same
-// time begin at different places.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+func freePort(ts *testscript.TestScript) string {
+	start := int64(firstPort + os.Getpid()%portBlocks*blockSize)
+	for {
+		port := start + nextPort.Add(1)
+		if port > lastPort {
+			ts.Fatalf("no free port below %d", lastPort)
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		ts.Check(l.Close())
+		return strconv.FormatInt(port, 10)
+	}
+}
 
 // cmdPort sets each named variable to a free loopback port.
 func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
@@ -108,19 +124,6 @@
 	}
 }
 
-func freePort(ts *testscript.TestScript) string {
-	for range lastPort - firstPort {
-		port := strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10)
-		l, err := net.Listen("tcp", "127.0.0.1:"+port)
-		if err == nil {
-			ts.Check(l.Close())
-			return port
-		}
-	}
-	ts.Fatalf("no port is free")
-	return ""
-}
-
 // cmdExpand replaces $NAME by the script's variables in files.
 func cmdExpand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
