--- a/internal/node/configurer/settings.go
+++ b/internal/node/configurer/settings.go
@@ -8,9 +8,11 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,13 +66,21 @@
 	"platform":  {"address", "timeout", "order-connection-limit"},
 }
 
+var options = ini.LoadOptions{
+	// Shadows keep keys that stand twice, so that they can be refused.
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	IgnoreContinuation:         true,
+	KeyValueDelimiters:         "=",
+}
+
 // Load reads settings from a file's content; name stands in errors.
 //
-// It fails with SettingsBad and names section and key.
+// The error joins every fault; each is SettingsBad and names section and key.
 func Load(name string, data []byte) (Settings, error) {
-	doc, err := ini.Load(data)
+	doc, err := ini.LoadSources(options, data)
 	if err != nil {
-		return Settings{}, coder.Refuse(coder.SettingsBad, "settings %s: %v", name, err)
+		return Settings{}, coder.Refuse(coder.SettingsBad, "settings %s: %s", name, strings.TrimSpace(err.Error()))
 	}
 	r := reader{file: name, doc: doc}
 	r.checkKnown()
@@ -81,31 +91,37 @@
 		ConnectWait:     r.duration("node", "connect-wait", 500*time.Millisecond),
 		LoadEvery:       r.duration("node", "load-every", 250*time.Millisecond),
 		LeaveWait:       r.duration("node", "leave-wait", 2*time.Second),
-		LogLevel:        r.text("node", "log-level", "info"),
+		LogLevel:        r.level("node", "log-level", "info"),
 		CallersListen:   r.address("callers", "listen"),
 		OperatorsListen: r.address("operators", "listen"),
 		PeersListen:     r.address("peers", "listen"),
-		SourceAddress:   r.text("peers", "source-address", ""),
-		Platform:        strings.TrimSuffix(r.required("platform", "address"), "/"),
+		SourceAddress:   r.ip("peers", "source-address"),
+		Platform:        r.base("platform", "address"),
 		PlatformTimeout: r.duration("platform", "timeout", 2*time.Second),
 		PlatformLimit:   r.duration("platform", "order-connection-limit", 5*time.Second),
 		OperatorHash:    r.hash("operators", "credential-hash"),
 	}
 	s.PeersAdvertise = r.text("peers", "advertise", s.PeersListen)
+	r.checkAddress("peers", "advertise", r.text("peers", "advertise", ""))
 	s.Peers = r.list("peers", "addresses")
-	return s, r.err
+	for _, a := range s.Peers {
+		r.checkAddress("peers", "addresses", a)
+	}
+	return s, errors.Join(r.faults...)
 }
 
 type reader struct {
-	file string
-	doc  *ini.File
-	err  error
+	file   string
+	doc    *ini.File
+	faults []error
 }
 
 func (r *reader) fail(section, key, format string, args ...any) {
-	if r.err == nil {
-		r.err = coder.Refuse(coder.SettingsBad, "settings %s, section [%s], key %s: %s", r.file, section, key, fmt.Sprintf(format, args...))
+	if key != "" {
+		key = ", key " + key
 	}
+	r.faults = append(r.faults, coder.Refuse(coder.SettingsBad,
+		"settings %s, section [%s]%s: %s", r.file, section, key, fmt.Sprintf(format, args...)))
 }
 
 func (r *reader) checkKnown() {
@@ -113,24 +129,19 @@
 		keys, ok := known[sec.Name()]
 		if !ok && (sec.Name() != ini.DefaultSection || len(sec.Keys()) > 0) {
 			r.fail(sec.Name(), "", "there is no such section")
+			continue
 		}
-		for _, k := range sec.KeyStrings() {
-			if !contains(keys, k) {
-				r.fail(sec.Name(), k, "there is no such key")
+		for _, k := range sec.Keys() {
+			switch {
+			case !slices.Contains(keys, k.Name()):
+				r.fail(sec.Name(), k.Name(), "there is no such key")
+			case len(k.ValueWithShadows()) > 1:
+				r.fail(sec.Name(), k.Name(), "the key stands twice")
 			}
 		}
 	}
 }
 
-func contains(items []string, s string) bool {
-	for _, item := range items {
-		if item == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *reader) text(section, key, otherwise string) string {
 	if s := r.doc.Section(section).Key(key).String(); s != "" {
 		return s
@@ -148,13 +159,45 @@
 
 func (r *reader) address(section, key string) string {
 	s := r.required(section, key)
-	host, _, err := net.SplitHostPort(s)
-	if s != "" && (err != nil || net.ParseIP(host) == nil) {
+	r.checkAddress(section, key, s)
+	return s
+}
+
+// checkAddress takes an address that is not set as checked elsewhere.
+func (r *reader) checkAddress(section, key, s string) {
+	a, err := netip.ParseAddrPort(s)
+	if s != "" && (err != nil || !a.IsValid()) {
 		r.fail(section, key, "%q is not IP:port", s)
 	}
+}
+
+func (r *reader) ip(section, key string) string {
+	s := r.text(section, key, "")
+	if _, err := netip.ParseAddr(s); s != "" && err != nil {
+		r.fail(section, key, "%q is not an IP address", s)
+	}
+	return s
+}
+
+func (r *reader) base(section, key string) string {
+	s := strings.TrimSuffix(r.required(section, key), "/")
+	address, ok := strings.CutPrefix(s, "http://")
+	if _, err := netip.ParseAddrPort(address); s != "" && (!ok || err != nil) {
+		r.fail(section, key, "%q is not http://IP:port", s)
+	}
 	return s
 }
 
+func (r *reader) level(section, key, otherwise string) string {
+	s := r.text(section, key, otherwise)
+	if !slices.Contains(levels, s) {
+		r.fail(section, key, "%q is not one of %s", s, strings.Join(levels, ", "))
+	}
+	return s
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
 func (r *reader) number(section, key string, otherwise, low, high int) int {
 	if !r.doc.Section(section).HasKey(key) {
 		return otherwise
