front: each kind of bad input has its own code

Scripts against a node process found: text after a JSON object was passed on; a body that broke off was called slow; a wrong method on a path of the node was an unknown path (107 was never used); max-header had no effect on requests and the server's own refusal had no code; a second Authorization was ignored; a streamed body had no time limit, and one that became too large, stalled or broke off was blamed on the endpoint, which was then set aside.

The receiver checks the size of the header (111, status 431) and headers that may stand only once (103), answers 107 with Allow, and tells a slow body (106) from one that breaks off (101). Each piece of a streamed body has body-wait. Failures of the caller's body keep their code through the forwarder, and results 1xx do not count against an endpoint. /healthz and /readyz take HEAD.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -24,6 +24,7 @@
 	CallerGone      Code = 108
 	CommandUsage    Code = 109
 	DecisionUnknown Code = 110
+	HeaderTooLarge  Code = 111
 
 	KeyMissing         Code = 201
 	KeyUnknown         Code = 202
--- a/internal/front/decoder/chat.go
+++ b/internal/front/decoder/chat.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"io"
 
 	"github.com/go-faster/jx"
 
@@ -62,7 +63,7 @@
 	})
 	if err == nil {
 		// Only white space may follow the object.
-		if d.Next() != jx.Invalid {
+		if !errors.Is(d.Skip(), io.EOF) {
 			return Prompt{}, malformed(nil, "text follows the JSON object")
 		}
 	}
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -63,6 +63,8 @@
 	switch c {
 	case coder.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case coder.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case coder.UnknownModel, coder.UnknownPath:
 		return http.StatusNotFound
 	case coder.MethodNotServed:
--- a/internal/front/receiver/model.go
+++ b/internal/front/receiver/model.go
@@ -1,7 +1,6 @@
 package receiver
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -49,6 +48,9 @@
 	}
 	reply := newReply(rc.Clock, w, req, rc.writeWait())
 	result := rc.Handler.Do(r.Context(), req, reply)
+	if b, ok := req.Body.Stream.(*streamedBody); ok && r.Context().Err() != nil {
+		result.Err = b.blame(result.Err)
+	}
 	reply.end(result)
 }
 
@@ -66,6 +68,9 @@
 	if err != nil {
 		return carrier.Request{}, err
 	}
+	if err := checkHeader(r, cfg.Limits()); err != nil {
+		return carrier.Request{}, err
+	}
 	// The key is checked before the body is read, so that a caller without one
 	// cannot make a node hold large bodies.
 	if _, err := authenticator.Identify(cfg, r.Header.Get("Authorization")); err != nil && !hasOpenModel(cfg) {
@@ -119,6 +124,9 @@
 	if err != nil {
 		return carrier.Request{}, err
 	}
+	if err := checkHeader(r, cfg.Limits()); err != nil {
+		return carrier.Request{}, err
+	}
 	route, ok := cfg.RouteByPath(r.URL.Path)
 	if !ok {
 		return carrier.Request{}, coder.Refuse(coder.UnknownPath, "there is no route for %s %s", r.Method, r.URL.Path)
@@ -145,7 +153,13 @@
 		}
 		return req.WithBody(carrier.Whole(body)), nil
 	}
-	stream := http.MaxBytesReader(w, r.Body, maxBody)
+	stream := &streamedBody{
+		body:    http.MaxBytesReader(w, r.Body, maxBody),
+		control: http.NewResponseController(w),
+		clock:   rc.Clock,
+		limit:   maxBody,
+		wait:    limits.BodyWait,
+	}
 	return req.WithBody(carrier.Body{Stream: stream, Length: r.ContentLength}), nil
 }
 
@@ -196,12 +210,8 @@
 	// A caller that sends its body slowly must not hold memory for ever.
 	_ = http.NewResponseController(w).SetReadDeadline(now.Add(wait))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
-	case err != nil:
-		return nil, coder.Refuse(coder.SlowCaller, "the body did not arrive whole within %v", wait).WithCause(err)
+	if err != nil {
+		return nil, bodyFailure(err, limit, wait)
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -52,12 +52,15 @@
 	r := httprouter.New()
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
-	r.HandleMethodNotAllowed = false
+	r.MethodNotAllowed = http.HandlerFunc(rc.methodNotServed)
 	r.POST("/v1/chat/completions", rc.chat)
 	r.POST("/v1/completions", rc.completion)
 	r.GET("/v1/models", rc.models)
 	r.GET("/healthz", rc.health)
 	r.GET("/readyz", rc.ready)
+	// Some balancers check with HEAD.
+	r.HEAD("/healthz", rc.health)
+	r.HEAD("/readyz", rc.ready)
 	r.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
 	r.NotFound = http.HandlerFunc(rc.plain)
 	return r
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -43,9 +43,11 @@
 			"exits":   cmdExits,
 			"expand":  cmdExpand,
 			"field":   cmdField,
+			"fill":    cmdFill,
 			"holder":  cmdHolder,
 			"judge":   cmdJudge,
 			"port":    cmdPort,
+			"raw":     cmdRaw,
 			"request": cmdRequest,
 			"signal":  cmdSignal,
 			"start":   cmdStart,
@@ -241,11 +243,7 @@
 		}
 		args = args[2:]
 	}
-	if len(args) > 3 {
-		if name, ok := strings.CutPrefix(args[3], "@"); ok {
-			args[3] = ts.ReadFile(name)
-		}
-	}
+	readBody(ts, args, 3)
 	if background {
 		done := make(chan struct{})
 		name := ts.MkAbs(args[0])
@@ -264,6 +262,16 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
+// readBody replaces the argument @NAME by the content of a file.
+func readBody(ts *testscript.TestScript, args []string, i int) {
+	if i >= len(args) {
+		return
+	}
+	if name, ok := strings.CutPrefix(args[i], "@"); ok {
+		args[i] = ts.ReadFile(name)
+	}
+}
+
 // cmdBody writes the body of an answer to a file: body ANSWER FILE.
 func cmdBody(ts *testscript.TestScript, _ bool, args []string) {
 	_, body, _ := strings.Cut(ts.ReadFile(args[0]), "\n\n")
@@ -276,6 +284,7 @@
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	limit, err := time.ParseDuration(args[0])
 	ts.Check(err)
+	readBody(ts, args, 4)
 	text := ""
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if text, err = send(args[2:]); err == nil && strings.Contains(text, args[1]) {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -158,10 +158,14 @@
 	return &http.Server{
 		Handler:           rc.Routes(),
 		ReadHeaderTimeout: limits.HeaderWait,
-		MaxHeaderBytes:    limits.MaxHeader,
+		MaxHeaderBytes:    maxHeader,
 	}
 }
 
+// maxHeader is the greatest limit max-header that the configuration can set;
+// the receiver holds requests to the one in force.
+const maxHeader = 1 << 20
+
 // periodic lists the tasks that run until the node stops.
 func (n *Node) periodic() []runner.Periodic {
 	var tasks []runner.Periodic
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -87,7 +87,8 @@
 		IdleTimeout: c.rule.IdleTimeout,
 	}, c.reply)
 	err := rep.Attempt.Err()
-	blame := err != nil && c.job.ctx.Err() == nil && !coder.Is(err, coder.CallerGone)
+	// Results 1xx are the caller's fault: it has left, or its body failed.
+	blame := err != nil && c.job.ctx.Err() == nil && coder.Of(err).Code()/100 != 1
 	d.Endpoints.Done(e.ID, w, !blame, c.rule)
 	return rep
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -261,8 +261,12 @@
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		err = cause
 	}
+	var known coder.Error
 	var op *net.OpError
 	switch {
+	case errors.As(err, &known):
+		// The caller's body failed on its way.
+		return known.WithOutcome(coder.Unknown)
 	case errors.Is(err, context.DeadlineExceeded):
 		return coder.Wrap(coder.DeadlinePassed, err, "the deadline has passed")
 	case errors.As(err, &op) && op.Op == "dial":
