--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -29,7 +29,6 @@
 	ids := make(map[string][]string)
 	listed := make(map[string]bool, len(vms))
 	made := o.Clock.Now().Add(-age)
-	o.list.Update(func(l list) (list, bool) { return l.with(made, vms), true })
 	for _, v := range vms {
 		listed[v.ID] = true
 		ids[v.Deployment] = append(ids[v.Deployment], v.ID)
@@ -49,6 +48,8 @@
 	}
 	o.setOrder(ids)
 	o.rebuildStale()
+	// Last, since it makes the node ready.
+	o.list.Update(func(l list) (list, bool) { return l.with(made, vms), true })
 	return nil
 }
 
