usage: a new holder reports only once its predecessor cannot

A holder that is paused between the lease check and the write of a report could send it beside the report of the next holder: the same figures, but from two processes that both believe they are in charge. The next holder now waits the platform's connection limit after its takeover, as the orderer does. Without the wait the script takeover shows 2 reports after 5 s where 1 is allowed; with it 1, and the second follows after 5 s.

--- a/internal/node/assembler/requests.go
+++ b/internal/node/assembler/requests.go
@@ -77,13 +77,14 @@
 		Live:    n.usagePeers,
 	}
 	n.reporter = &reporter.Reporter{
-		Clock:   n.clock,
-		Log:     n.log,
-		Table:   n.platform,
-		Leases:  n.leaser,
-		Reports: func(g leaser.Grant) transactor.Reports { return n.fencedPlatform(g) },
-		Groups:  n.usageGroups,
-		Window:  func() time.Duration { return n.limits().UsageWindow },
+		Clock:         n.clock,
+		Log:           n.log,
+		Table:         n.platform,
+		Leases:        n.leaser,
+		PlatformLimit: n.settings.PlatformLimit,
+		Reports:       func(g leaser.Grant) transactor.Reports { return n.fencedPlatform(g) },
+		Groups:        n.usageGroups,
+		Window:        func() time.Duration { return n.limits().UsageWindow },
 	}
 }
 
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -36,6 +36,9 @@
 	// Groups returns the number of groups, Window the length of a window.
 	Groups func() int
 	Window func() time.Duration
+	// PlatformLimit is how long the platform keeps a connection open on which
+	// no whole report arrives.
+	PlatformLimit time.Duration
 	// states is what this node knows of the groups.
 	states keeper.Table[int, state]
 }
@@ -196,8 +199,18 @@
 	return tx, h
 }
 
+// settled reports whether no report of an earlier holder can be under way any
+// more: the connection on which one was held up by a pause is closed by then.
+// The first holder of a duty has no predecessor.
+func (r *Reporter) settled(g leaser.Grant) bool {
+	return g.Token <= 1 || r.Clock.Now().Sub(g.Taken) >= r.PlatformLimit
+}
+
 // report sends the closed windows that are not known to be reported, in order.
 func (r *Reporter) report(ctx context.Context, group int, g leaser.Grant, h head) (head, error) {
+	if !r.settled(g) {
+		return h, nil
+	}
 	for h.reported < h.closed {
 		sequence := h.reported + 1
 		row, err := r.Table.Get(ctx, windowKey(group, sequence))
