--- a/internal/request/queuer/queue_test.go
+++ b/internal/request/queuer/queue_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
@@ -56,15 +57,17 @@
 
 func (w *world) Elsewhere() (int, map[string]admitter.Elsewhere) { return w.nodes, w.work }
 
-func (w *world) Config() (definer.Config, error) {
+func (w *world) Config() (definer.Config, error) { return config, nil }
+
+var config = func() definer.Config {
 	limits := definer.DefaultLimits()
 	limits.MaxQueue = 40
 	return definer.New(definer.Definitions{
 		Accounts:    []definer.Account{{Name: "big", Share: 1}, {Name: "small", Share: 1}, {Name: "few", Share: 1, MaxConcurrent: 2}},
 		Deployments: []definer.Deployment{{Name: "m", Slots: 4}, {Name: "n", Slots: 4}},
 		Limits:      limits,
-	}), nil
-}
+	})
+}()
 
 // script runs a queue by hand: Next is called only when a job is ready.
 type script struct {
@@ -98,7 +101,11 @@
 		return s.next(t, count)
 	case "done":
 		for range count {
-			s.q.Done(s.started[0], carrier.Result{Usage: carrier.Usage{PromptTokens: 100, OutputTokens: 10}})
+			r := carrier.Result{Usage: carrier.Usage{PromptTokens: 100, OutputTokens: 10}}
+			if td.HasArg("given-up") {
+				r.Err = coder.New(coder.DeadlinePassed, "the deadline has passed")
+			}
+			s.q.Done(s.started[0], r)
 			s.started = s.started[1:]
 		}
 	case "room":
