lab: demonstration of claims, withdrawal and usage

The demonstration showed a stream and a plain order only.

It now tells the decisions on the stream as explain does, sends one order twice with one Idempotency-Key to two nodes, creates and withdraws a key while another goes on at every node, and stops two nodes gracefully, after which the third reports their usage; each step compares what it shows. Nodes of a world can be stopped one by one.

Without the Idempotency-Key the demonstration ends with "step 2: the order was not answered once and run once", exit status 1.

--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -57,12 +57,18 @@
 	base    string
 	ctx     context.Context
 	stop    context.CancelFunc
-	wg      conc.WaitGroup
+	running []*running
 	servers []*http.Server
 	// serving waits for the stand-ins' servers.
 	serving conc.WaitGroup
 }
 
+// running is a node that was started.
+type running struct {
+	stop context.CancelFunc
+	wg   conc.WaitGroup
+}
+
 // New starts a world and returns once every node is ready.
 func New(ctx context.Context, p Plan) (*World, error) {
 	if len(p.DataCentres) == 0 {
@@ -92,13 +98,22 @@
 // Stop ends the nodes gracefully and then the stand-ins.
 func (w *World) Stop() {
 	w.stop()
-	w.wg.Wait()
+	for i := range w.running {
+		w.StopNode(i)
+	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
 	w.serving.Wait()
 }
 
+// StopNode stops a node gracefully and returns once it has ended.
+func (w *World) StopNode(node int) {
+	r := w.running[node]
+	r.stop()
+	r.wg.Wait()
+}
+
 // Address returns the base address of a node for callers.
 func (w *World) Address(node int) string {
 	return "http://" + w.Nodes[node].CallersAddress()
@@ -182,7 +197,11 @@
 			return err
 		}
 		w.Nodes = append(w.Nodes, n)
-		w.wg.Go(func() { _ = n.Run(w.ctx) })
+		r := &running{}
+		ctx, stop := context.WithCancel(w.ctx)
+		r.stop = stop
+		r.wg.Go(func() { _ = n.Run(ctx) })
+		w.running = append(w.running, r)
 	}
 	return nil
 }
--- a/internal/lab/demonstrator/demo.go
+++ b/internal/lab/demonstrator/demo.go
@@ -13,32 +13,39 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
-	"github.com/openai/openai-go/v3"
-	"github.com/openai/openai-go/v3/option"
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/assembler"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
+	"foxtailflow.example/foxtailflow/internal/operator/requester"
 )
 
 // Demo is one run of the demonstration.
 type Demo struct {
 	Out io.Writer
 
+	clock timekeeper.Clock
 	world *assembler.World
-	lines *decisionLines
+	log   *keptLog
+	// sent are the figures of the answered model requests, as callers saw them.
+	sent figures
 }
 
 const (
 	callerSecret   = "ff-demo-caller"
 	operatorSecret = "ff-demo-operator"
+	model          = "wichse-llm"
 )
 
 const configuration = `
 [client-account "baden"]
-share = 1
+share = 2
+
+[client-account "olten"]
 
 [key "key-baden"]
 client-account = baden
@@ -62,32 +69,49 @@
 path = /orders
 deployment = ladentisch
 deadline = 5s
+
+[limits]
+usage-groups = 1
+usage-window = 1s
 `
 
 // Run shows all steps.
 func (d *Demo) Run(ctx context.Context) error {
-	d.lines = &decisionLines{}
+	d.clock = timekeeper.System{}
+	d.log = &keptLog{}
+	began := d.clock.Now()
 	w, err := assembler.New(ctx, assembler.Plan{
 		Nodes:           3,
 		Engines:         2,
 		Services:        1,
-		Engine:          generator.Settings{Model: "wichse-llm", PrefillRate: 20_000, DecodeRate: 400, Slots: 16, Pieces: 1000},
+		Engine:          generator.Settings{Model: model, PrefillRate: 20_000, DecodeRate: 400, Slots: 16, Pieces: 1000},
 		Files:           map[string]string{"demo.ini": fmt.Sprintf(configuration, authenticator.HashText(callerSecret))},
 		ModelDeployment: "wichse-llm",
 		PlainDeployment: "ladentisch",
 		OperatorSecret:  operatorSecret,
-		Log:             zerolog.New(d.lines),
+		Log:             zerolog.New(d.log),
 	})
 	if err != nil {
 		return err
 	}
 	defer w.Stop()
 	d.world = w
-	for _, step := range []func(context.Context) error{d.showStream, d.showOrder} {
-		if err := step(ctx); err != nil {
-			return err
+	d.say("A platform, two engines, a plain service and three nodes are running.")
+	for i, step := range []struct {
+		name string
+		show func(context.Context) error
+	}{
+		{"A streamed answer, and the decisions on it as `explain` tells them", d.showStream},
+		{"An order sent twice with one Idempotency-Key", d.showOrder},
+		{"A key that is withdrawn while others go on", d.showWithdrawal},
+		{"Two nodes stop gracefully; the third reports the usage", d.showUsage},
+	} {
+		d.say("\n%d. %s", i+1, step.name)
+		if err := step.show(ctx); err != nil {
+			return fmt.Errorf("step %d: %w", i+1, err)
 		}
 	}
+	d.say("\nAll steps were as shown, in %v.", d.clock.Now().Sub(began).Round(100*time.Millisecond))
 	return nil
 }
 
@@ -95,96 +119,57 @@
 	_, _ = fmt.Fprintf(d.Out, format+"\n", args...)
 }
 
-// showStream streams an answer and prints the decision lines of the request.
-func (d *Demo) showStream(ctx context.Context) error {
-	var resp *http.Response
-	client := openai.NewClient(
-		option.WithBaseURL(d.world.Address(0)+"/v1"),
-		option.WithAPIKey(callerSecret),
-		option.WithMaxRetries(0),
-		option.WithResponseInto(&resp),
-	)
-	stream := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
-		Model:     "wichse-llm",
-		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Which hold suits damp weather?")},
-		MaxTokens: openai.Int(12),
-	})
-	var text strings.Builder
-	for stream.Next() {
-		for _, c := range stream.Current().Choices {
-			text.WriteString(c.Delta.Content)
-		}
-	}
-	if err := stream.Err(); err != nil {
-		return err
-	}
-	if n := len(strings.Fields(text.String())); n != 12 {
-		return fmt.Errorf("the stream has %d words, not 12", n)
-	}
-	id := resp.Header.Get("Foxtailflow-Request-Id")
-	d.say("stream of request %s:%s", id, text.String())
-	lines := d.lines.of(id)
-	if len(lines) == 0 {
-		return fmt.Errorf("there is no decision line for request %s", id)
+// indent prints a text of several lines below what was said.
+func (d *Demo) indent(text string) {
+	for line := range strings.SplitSeq(text, "\n") {
+		d.say("   %s", line)
 	}
-	d.say("decisions:")
-	for _, l := range lines {
-		d.say("  %s", l)
-	}
-	return nil
 }
 
-// showOrder places an order through a plain route.
-func (d *Demo) showOrder(ctx context.Context) error {
-	body, status, err := d.post(ctx, 1, "/orders", "two crates of wax", callerSecret)
-	if err != nil {
-		return err
-	}
-	if runs := d.world.Services[0].Runs("two crates of wax"); status != http.StatusOK || runs != 1 {
-		return fmt.Errorf("the order was answered %d and ran %d times", status, runs)
-	}
-	d.say("order: %s", strings.TrimSpace(body))
-	return nil
+func (d *Demo) operators(node int) requester.Client {
+	return requester.Client{Node: d.world.Nodes[node].OperatorsAddress(), Credential: operatorSecret}
 }
 
-func (d *Demo) post(ctx context.Context, node int, path, body, secret string) (string, int, error) {
+// answer is a caller's view of an answer.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (d *Demo) post(ctx context.Context, node int, path, body string, header map[string]string) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.world.Address(node)+path, strings.NewReader(body))
 	if err != nil {
-		return "", 0, err
+		return answer{}, err
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
 	}
-	req.Header.Set("Authorization", "Bearer "+secret)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return "", 0, err
+		return answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	return string(data), resp.StatusCode, err
+	return answer{resp.StatusCode, resp.Header, strings.TrimSpace(string(data))}, err
 }
 
-// decisionLines keeps log lines in memory.
-type decisionLines struct {
-	mu    sync.Mutex
-	lines []string
+// keptLog keeps the nodes' log in memory.
+type keptLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
 }
 
 // Write keeps one line.
-func (l *decisionLines) Write(p []byte) (int, error) {
+func (l *keptLog) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lines = append(l.lines, string(bytes.TrimSpace(p)))
-	return len(p), nil
+	return l.text.Write(p)
 }
 
-// of returns the decision lines of a request.
-func (l *decisionLines) of(id string) []string {
+// reader returns a reader of the log so far.
+func (l *keptLog) reader() io.Reader {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var found []string
-	for _, line := range l.lines {
-		if strings.Contains(line, id) && strings.Contains(line, `"decision"`) {
-			found = append(found, line)
-		}
-	}
-	return found
+	return bytes.NewReader(bytes.Clone(l.text.Bytes()))
 }
--- a/internal/lab/provider/fleet.go
+++ b/internal/lab/provider/fleet.go
@@ -90,6 +90,17 @@
 	return nil
 }
 
+// Reports returns the usage reports received, in no order.
+func (m *Memory) Reports() []transactor.UsageReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reports := make([]transactor.UsageReport, 0, len(m.reports))
+	for _, r := range m.reports {
+		reports = append(reports, r)
+	}
+	return reports
+}
+
 // Reported reports whether the window was received.
 func (m *Memory) Reported(ctx context.Context, id string) (bool, error) {
 	if err := m.admit(ctx, opList); err != nil {
