--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -209,13 +209,19 @@
 	ended <-chan struct{}
 }
 
+// StopNode stops a node gracefully and returns once it has ended.
+func (w *World) StopNode(node int) {
+	if r, ok := w.running.Get(node); ok {
+		r.stop()
+		<-r.ended
+	}
+}
+
 // Restart stops a node gracefully and starts another one at the same address
 // for callers; it returns once that is ready.
 func (w *World) Restart(node int) error {
 	address := w.Nodes[node].CallersAddress()
-	r, _ := w.running.Get(node)
-	r.stop()
-	<-r.ended
+	w.StopNode(node)
 	n, err := w.startNode(node, address)
 	if err != nil {
 		return err
