measurer: entitlement of the requests that came during the flood

Change: answers to requests that came during the flood count whenever they end in time. It holds for all policies. The policies and all other columns are unchanged.

--- a/internal/lab/measurer/run.go
+++ b/internal/lab/measurer/run.go
@@ -119,7 +119,7 @@
 			}
 			r.count.cost += price(e) * step.Hours()
 			if !e.crashed {
-				r.ended(t, e.step(step))
+				r.ended(e.step(step))
 			}
 			r.moveOn(t, e)
 		}
@@ -214,7 +214,7 @@
 		Deadline: start.Add(j.deadline).Add(step),
 	}
 	r.count.offered++
-	r.entitle(t, j, 0)
+	r.entitle(j, 0)
 	if err := n.queue.Add(j); err != nil {
 		r.count.refused++
 		return
@@ -224,15 +224,16 @@
 	r.jobs = append(r.jobs, j)
 }
 
-// entitle counts work asked for (0) and done in time (1) while one floods.
-func (r *run) entitle(t time.Duration, j *job, which int) {
-	if r.mix.flooding(j.born) && r.mix.flooding(t) {
+// entitle counts the work of requests that came while one account flooded: what
+// was asked for (0) and what was done in time (1), also after the flood's end.
+func (r *run) entitle(j *job, which int) {
+	if r.mix.flooding(j.born) {
 		l := r.config.Limits()
 		r.count.byClient[which][j.client] += float64(j.prompt)*l.WorkPrefill + float64(j.output)*l.WorkDecode
 	}
 }
 
-func (r *run) ended(t time.Duration, jobs []*job) {
+func (r *run) ended(jobs []*job) {
 	for _, j := range jobs {
 		j.node.left(j, true)
 		if !j.decoding {
@@ -243,7 +244,7 @@
 		r.control.ratio += 0.02 * (float64(j.output)/float64(j.bound) - r.control.ratio)
 		r.count.good++
 		r.count.tokens += float64(j.output)
-		r.entitle(t, j, 1)
+		r.entitle(j, 1)
 		j.node.end(j, nil)
 	}
 }
