admitter: a quiet second is no ground to refuse; test of a lost data centre

Cause: a rate measured while nothing waited is only a lower bound, but early refusal took it as the rate. The loss of a data centre's cheap endpoints had no test. Change: such a rate only raises one that is known. A test runs both mixes with a steady load through the loss.

--- a/internal/decision/admitter/pace.go
+++ b/internal/decision/admitter/pace.go
@@ -65,8 +65,11 @@
 	rate := p.work / dt.Seconds()
 	switch {
 	case p.slack:
-		// Not all capacity was used, so it is at least this.
-		p.rate = max(p.rate, rate)
+		// Not all capacity was used, so it is at least this. Alone it says
+		// nothing: after a quiet second any short wait would look long.
+		if p.rate > 0 {
+			p.rate = max(p.rate, rate)
+		}
 	case p.rate == 0:
 		p.rate = rate
 	default:
--- a/internal/lab/measurer/measurer_test.go
+++ b/internal/lab/measurer/measurer_test.go
@@ -55,3 +55,26 @@
 		t.Errorf("two runs with seed 1 differ:\n%s\n%s", a.String(), b.String())
 	}
 }
+
+// TestLossOfCheapEndpoints guards against a fleet that cannot carry a steady
+// load after one data centre has lost all its cheap endpoints. The seed is 1.
+func TestLossOfCheapEndpoints(t *testing.T) {
+	for _, m := range []mix{bartwichse(), radio()} {
+		m.segments = []segment{{until: length, rate: m.segments[0].rate, long: m.segments[0].long}}
+		m.floods, m.crash, m.withdraw = "", length, 60*time.Second
+		r := newRun(Plans()[0], m, 1)
+		r.length = testLength
+		c := r.do()
+		lost := 0
+		for _, e := range r.engines {
+			if e.gone {
+				lost++
+			}
+		}
+		failed := c.refused + c.expired + c.late
+		t.Logf("%s: %d engines lost; of %d requests %d refused, %d expired, %d late", m.name, lost, c.offered, c.refused, c.expired, c.late)
+		if lost == 0 || failed*200 > c.offered {
+			t.Errorf("%s: %d engines lost, %d of %d requests refused or late, more than 0.5%%", m.name, lost, failed, c.offered)
+		}
+	}
+}
