admitter: no refusal by the times of a few answers

Cause: the line through the first answers of a node that had just started predicted far too long times, and requests were refused at their turn without any load. Change: 20 answers are needed before their times count.

--- a/internal/decision/admitter/pace.go
+++ b/internal/decision/admitter/pace.go
@@ -11,7 +11,7 @@
 	// Means of the output that was estimated and of the time that a request
 	// took, for the line through them.
 	output, time, square, product float64
-	seen                          bool
+	seen                          int
 
 	since time.Time
 	work  float64
@@ -26,6 +26,9 @@
 	paceShare = 0.3
 	// serviceShare is the weight of one request in the means.
 	serviceShare = 0.02
+	// enough answers are needed before their times tell anything: a line
+	// through the first few refused requests of a node that had just started.
+	enough = 20
 )
 
 // WithTime returns the pace after a request with the given estimate of its
@@ -39,9 +42,10 @@
 		return p
 	}
 	y, w := d.Seconds(), serviceShare
-	if !p.seen {
-		p.seen, w = true, 1
+	if p.seen == 0 {
+		w = 1
 	}
+	p.seen++
 	p.output += w * (output - p.output)
 	p.time += w * (y - p.time)
 	p.square += w * (output*output - p.square)
@@ -93,6 +97,9 @@
 // The output decides: an engine reads a prompt in a fraction of the time in
 // which it writes an answer.
 func (p Pace) Service(output float64) time.Duration {
+	if p.seen < enough {
+		return 0
+	}
 	slope := 0.0
 	if variance := p.square - p.output*p.output; variance > 1 {
 		slope = max((p.product-p.output*p.time)/variance, 0)
