--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -37,6 +37,7 @@
 	root.AddCommand(outcomesCommand(), latencyCommand())
 	root.AddCommand(standInCommands()...)
 	root.AddCommand(relayCommand())
+	root.AddCommand(membershipCommands()...)
 	return root
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -60,7 +60,7 @@
 // New builds a node and opens its listeners.
 func New(s configurer.Settings, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, clock: clock, log: log.With().Str("node", s.ID).Logger()}
-	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: &http.Transport{}}
+	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: transportFrom(s.SourceAddress)}
 	n.applier = &applier.Applier{Clock: clock, Table: platform}
 	n.observer = &observer.Observer{
 		Clock:   clock,
@@ -113,7 +113,7 @@
 	if !n.observer.Listed() {
 		return coder.Refuse(coder.NoEndpoint, "the node has not read the list of endpoints").WithRetryAfter(time.Second)
 	}
-	return nil
+	return n.applier.Counted()
 }
 
 // Run serves until ctx is done, then finishes what runs and returns.
@@ -162,10 +162,14 @@
 	return &http.Server{
 		Handler:           rc.Routes(),
 		ReadHeaderTimeout: limits.HeaderWait,
-		MaxHeaderBytes:    limits.MaxHeader,
+		MaxHeaderBytes:    maxHeader,
 	}
 }
 
+// maxHeader is the greatest limit max-header that the configuration can set;
+// the receiver holds requests to the one in force.
+const maxHeader = 1 << 20
+
 // periodic lists the tasks that run until the node stops.
 func (n *Node) periodic() []runner.Periodic {
 	var tasks []runner.Periodic
