request: callers that read slowly do not put the blame on the endpoint

The watch on the endpoint's progress went on while a piece was written to the caller, so a write that took as long as the idle timeout ended the attempt as a failure of the endpoint.

The watch rests during the write, which has its own bound.

--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -44,6 +44,14 @@
 	return r.reply.Begin(ctx, carrier.Head{Status: resp.StatusCode, Header: carrier.Header(resp.Header)})
 }
 
+// write passes a piece on. While the caller is slow to take it, the endpoint is
+// not blamed for making no progress.
+func (r *relay) write(ctx context.Context, p []byte) error {
+	r.watch.stop()
+	defer r.watch.progress()
+	return r.reply.Write(ctx, p)
+}
+
 // whole passes on an answer that is not an event stream of an engine.
 //
 // The answer of an engine is read to its end before it is passed on, so that
@@ -63,7 +71,7 @@
 		n, err := resp.Body.Read(buf)
 		r.watch.progress()
 		if n > 0 {
-			if err := r.reply.Write(ctx, buf[:n]); err != nil {
+			if err := r.write(ctx, buf[:n]); err != nil {
 				return err
 			}
 		}
@@ -111,7 +119,7 @@
 	if err := r.begin(ctx, resp); err != nil {
 		return err
 	}
-	return r.reply.Write(ctx, data)
+	return r.write(ctx, data)
 }
 
 // events passes on the event stream of an engine.
@@ -167,7 +175,7 @@
 	}
 	line := make([]byte, 0, len(data)+len("data: \n\n"))
 	line = append(append(append(line, "data: "...), data...), "\n\n"...)
-	if err := r.reply.Write(ctx, line); err != nil {
+	if err := r.write(ctx, line); err != nil {
 		return false, err
 	}
 	r.report.Events++
