--- /dev/null
+++ b/internal/fleet/observer/refresh.go
@@ -0,0 +1,193 @@
+package observer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+const (
+	// listTrusted is the age up to which an entry of the list is enough to send
+	// work to an endpoint that does not report.
+	listTrusted = 10 * time.Second
+	// reportTrusted is the age up to which a report is enough although the list
+	// is old, as in an outage of the platform.
+	reportTrusted = 3 * time.Second
+)
+
+// RefreshList takes the platform's list of VMs into the table.
+func (o *Observer) RefreshList(ctx context.Context) error {
+	vms, age, err := o.VMs.List(ctx)
+	if err != nil {
+		return err
+	}
+	ids := make(map[string][]string)
+	listed := make(map[string]bool, len(vms))
+	made := o.Clock.Now().Add(-age)
+	for _, v := range vms {
+		listed[v.ID] = true
+		ids[v.Deployment] = append(ids[v.Deployment], v.ID)
+		if e, ok := o.Table.Get(v.ID); !ok || e != withVM(e, v) {
+			o.update(v.ID, func(e picker.Endpoint, _ bool) (picker.Endpoint, bool) { return withVM(e, v), true })
+		}
+	}
+	var gone []picker.Endpoint
+	o.Table.Each(func(id string, e picker.Endpoint) bool {
+		if !listed[id] {
+			gone = append(gone, e)
+		}
+		return true
+	})
+	for _, e := range gone {
+		o.forget(e)
+	}
+	o.setOrder(ids)
+	o.rebuildStale()
+	// Last, since it makes the node ready.
+	o.list.Update(func(l list) (list, bool) { return l.with(made, vms), true })
+	return nil
+}
+
+// Listed reports whether the platform's list was read since the start.
+func (o *Observer) Listed() bool { return !o.list.Get().made.IsZero() }
+
+// withVM returns an endpoint with what the list says of it.
+func withVM(e picker.Endpoint, v transactor.VM) picker.Endpoint {
+	e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
+	e.Deployment, e.Tier = v.Deployment, v.Tier
+	return e.WithLeaving(v.State == transactor.Leaving)
+}
+
+// list is the platform's list as far as it is kept beside the rows; it is an
+// immutable value.
+type list struct {
+	// made is when the newest list was made.
+	made time.Time
+	ids  []string
+	// round counts rounds of reports, to take turns among the endpoints.
+	round int
+}
+
+// with returns the list with new entries.
+func (l list) with(made time.Time, vms []transactor.VM) list {
+	if made.After(l.made) {
+		l.made = made
+	}
+	l.ids = make([]string, 0, len(vms))
+	for _, v := range vms {
+		l.ids = append(l.ids, v.ID)
+	}
+	return l
+}
+
+// turn returns the endpoints of the next round and the number of rounds that
+// it takes to ask all.
+func (l list) turn() (ids []string, turns int) {
+	turns = max((len(l.ids)+reportsPerRound-1)/reportsPerRound, 1)
+	first := l.round % turns * reportsPerRound
+	return l.ids[first:min(first+reportsPerRound, len(l.ids))], turns
+}
+
+// setOrder takes over the order of the list in each deployment.
+func (o *Observer) setOrder(ids map[string][]string) {
+	var names []string
+	o.groups.Each(func(name string, _ group) bool {
+		names = append(names, name)
+		return true
+	})
+	for _, name := range names {
+		o.groups.Update(name, func(g group, ok bool) (group, bool) {
+			if slices.Equal(g.ids, ids[name]) {
+				return g, ok
+			}
+			g.ids, g.stale = ids[name], true
+			return g, ok
+		})
+	}
+}
+
+// forget drops an endpoint that the list no longer has, once its work is done.
+func (o *Observer) forget(e picker.Endpoint) {
+	gone := false
+	o.update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+		gone = ok && e.Sent <= 0
+		return e.WithLeaving(true), ok && !gone
+	})
+	if gone && o.OnGone != nil {
+		o.OnGone(e.ID)
+	}
+}
+
+const (
+	// concurrentReports bounds the load reports that are asked for at once.
+	concurrentReports = 32
+	// reportsPerRound bounds the reports of one round; with more endpoints each
+	// is asked in its turn, and what was sent corrects the older reports.
+	reportsPerRound = 256
+)
+
+// askSome asks the endpoints whose turn it is, and marks those of them that are
+// unconfirmed.
+func (o *Observer) askSome(ctx context.Context) {
+	var l list
+	o.list.Update(func(now list) (list, bool) {
+		l = now
+		now.round++
+		return now, true
+	})
+	ids, turns := l.turn()
+	p := pool.New().WithMaxGoroutines(concurrentReports)
+	for _, id := range ids {
+		if e, ok := o.Table.Get(id); ok {
+			p.Go(func() { o.refreshOne(ctx, e) })
+		}
+	}
+	p.Wait()
+	o.markUnconfirmed(ids, l.made, turns)
+}
+
+func (o *Observer) refreshOne(ctx context.Context, e picker.Endpoint) {
+	l, err := o.Engines.Load(ctx, e.Address)
+	if err != nil {
+		o.Log.Debug().Str("endpoint", e.ID).Err(err).Msg("no load report")
+		return
+	}
+	report := picker.Report{
+		At:         o.Clock.Now(),
+		Lag:        o.ReportLag,
+		InFlight:   l.InFlight,
+		Queued:     l.Queued,
+		Backlog:    l.Backlog,
+		FreePieces: l.FreePieces,
+		Role:       picker.Role(l.Role),
+		Leaving:    l.Leaving,
+		Changing:   l.Changing,
+	}
+	o.update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+		if !ok {
+			return e, false
+		}
+		return e.WithReport(report), true
+	})
+}
+
+// markUnconfirmed marks endpoints of which neither the list nor a report is
+// recent: they may be gone without this node having heard of it.
+func (o *Observer) markUnconfirmed(ids []string, made time.Time, turns int) {
+	now := o.Clock.Now()
+	for _, id := range ids {
+		e, _ := o.Table.Get(id)
+		old := now.Sub(made) > listTrusted && now.Sub(e.Report.At) > reportTrusted*time.Duration(turns)
+		if old == e.Unconfirmed {
+			continue
+		}
+		o.update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+			return e.WithUnconfirmed(old), ok
+		})
+	}
+}
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -63,6 +63,8 @@
 	switch c {
 	case coder.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case coder.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case coder.UnknownModel, coder.UnknownPath:
 		return http.StatusNotFound
 	case coder.MethodNotServed:
@@ -79,15 +81,21 @@
 		return http.StatusGatewayTimeout
 	case coder.EndpointUnreachable, coder.EndpointFailed, coder.AnswerCut, coder.AnswerCrossed, coder.EndpointRefused:
 		return http.StatusBadGateway
-	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ConfigConflict:
+	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ClaimAnswerNotKept, coder.ConfigConflict:
 		return http.StatusConflict
 	case coder.ClaimOtherBody:
 		return http.StatusUnprocessableEntity
 	case coder.ConfigNotInForce:
 		return http.StatusAccepted
+	case coder.ClaimUnavailable:
+		return http.StatusServiceUnavailable
 	case coder.Internal:
 		return http.StatusInternalServerError
 	}
+	switch c {
+	case coder.ConfigNotLoaded, coder.ConfigOutcomeUnsure:
+		return http.StatusServiceUnavailable
+	}
 	switch c / 100 {
 	case 1, 3, 8:
 		return http.StatusBadRequest
--- a/internal/lab/starter/script_test.go
+++ b/internal/lab/starter/script_test.go
@@ -2,18 +2,23 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/jx"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	command "foxtailflow.example/foxtailflow/internal/command/starter"
@@ -33,16 +38,28 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"await":   cmdAwait,
-			"expand":  cmdExpand,
-			"holder":  cmdHolder,
-			"judge":   cmdJudge,
-			"port":    cmdPort,
-			"request": cmdRequest,
-			"signal":  cmdSignal,
-			"start":   cmdStart,
+			"await":     cmdAwait,
+			"body":      cmdBody,
+			"exits":     cmdExits,
+			"expand":    cmdExpand,
+			"field":     cmdField,
+			"fill":      cmdFill,
+			"finish":    cmdFinish,
+			"holder":    cmdHolder,
+			"judge":     cmdJudge,
+			"port":      cmdPort,
+			"raw":       cmdRaw,
+			"reported":  cmdReported,
+			"request":   cmdRequest,
+			"same-text": cmdSameText,
+			"serving":   cmdServing,
+			"signal":    cmdSignal,
+			"start":     cmdStart,
+			"stream":    cmdStream,
 		},
 		Setup: func(env *testscript.Env) error {
+			// The race detector otherwise waits a second at the end of each program.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
 			env.Values[processesKey{}] = &processes{byName: make(map[string]*process)}
 			return nil
 		},
@@ -78,15 +95,39 @@
 	return b.b.String()
 }
 
+// The ports of scripts lie below the range from which the kernel takes ports of
+// outgoing connections: a port of that range can be taken between its choice
+// and the start of the program that is to listen there. Each test process
+// begins in a block of its own.
+const (
+	firstPort  = 10_000
+	portBlocks = 100
+	blockSize  = 200
+	lastPort   = 32_000
+)
+
+var nextPort atomic.Int64
+
+func freePort(ts *testscript.TestScript) string {
+	start := int64(firstPort + os.Getpid()%portBlocks*blockSize)
+	for {
+		port := start + nextPort.Add(1)
+		if port > lastPort {
+			ts.Fatalf("no free port below %d", lastPort)
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		ts.Check(l.Close())
+		return strconv.FormatInt(port, 10)
+	}
+}
+
 // cmdPort sets each named variable to a free loopback port.
 func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		_, port, err := net.SplitHostPort(l.Addr().String())
-		ts.Check(err)
-		ts.Check(l.Close())
-		ts.Setenv(name, port)
+		ts.Setenv(name, freePort(ts))
 	}
 }
 
@@ -98,6 +139,32 @@
 	}
 }
 
+// cmdExits runs a program that must end with the given exit code, and keeps its
+// output for stdout and stderr: exits CODE PROGRAM ARGS...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != want {
+		ts.Fatalf("the exit code is not %d: %v", want, err)
+	}
+}
+
+// cmdField sets a variable to a text field of a JSON object: field VARIABLE NAME FILE.
+func cmdField(ts *testscript.TestScript, _ bool, args []string) {
+	value := ""
+	err := jx.DecodeStr(ts.ReadFile(args[2])).Obj(func(d *jx.Decoder, name string) (err error) {
+		if name != args[1] {
+			return d.Skip()
+		}
+		value, err = d.Str()
+		return err
+	})
+	ts.Check(err)
+	ts.Setenv(args[0], value)
+}
+
 // cmdStart starts a program under a name: start NAME PROGRAM ARGS...
 //
 // Its output goes to the file NAME.log when the script ends.
@@ -158,26 +225,71 @@
 }
 
 // cmdRequest sends one request and writes status, header and body to a file:
-// request FILE METHOD URL [BODY [HEADER: VALUE]...]; a BODY of @NAME is read
-// from a file of the script.
+// request [-background] [-from IP] [-timeout DURATION] FILE METHOD URL [BODY [HEADER: VALUE]...];
+// a BODY of @NAME is read from a file of the script. With a leading ! the
+// request must get no whole answer; in the background, whatever comes is kept.
 func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
-	if len(args) > 3 {
-		if name, ok := strings.CutPrefix(args[3], "@"); ok {
-			args[3] = ts.ReadFile(name)
+	var s sender
+	background := false
+	for len(args) > 2 && strings.HasPrefix(args[0], "-") {
+		switch args[0] {
+		case "-background":
+			background = true
+			args = args[1:]
+			continue
+		case "-from":
+			s.from = args[1]
+		case "-timeout":
+			d, err := time.ParseDuration(args[1])
+			ts.Check(err)
+			s.timeout = d
+		default:
+			ts.Fatalf("request: there is no option %s", args[0])
 		}
+		args = args[2:]
 	}
-	text, err := send(args[1:])
-	if err != nil && !neg {
-		ts.Fatalf("request: %v", err)
+	readBody(ts, args, 3)
+	if background {
+		done := make(chan struct{})
+		name := ts.MkAbs(args[0])
+		go func() {
+			defer close(done)
+			text, _ := s.send(args[1:])
+			_ = os.WriteFile(name, []byte(text), 0o600)
+		}()
+		ts.Defer(func() { <-done })
+		return
+	}
+	text, err := s.send(args[1:])
+	if (err != nil) != neg {
+		ts.Fatalf("request: error %v, answer %q", err, text)
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
+// readBody replaces the argument @NAME by the content of a file.
+func readBody(ts *testscript.TestScript, args []string, i int) {
+	if i >= len(args) {
+		return
+	}
+	if name, ok := strings.CutPrefix(args[i], "@"); ok {
+		args[i] = ts.ReadFile(name)
+	}
+}
+
+// cmdBody writes the body of an answer to a file: body ANSWER FILE.
+func cmdBody(ts *testscript.TestScript, _ bool, args []string) {
+	_, body, _ := strings.Cut(ts.ReadFile(args[0]), "\n\n")
+	body = strings.TrimPrefix(body, "\r\n")
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(body), 0o600))
+}
+
 // cmdAwait repeats a request until the answer contains a text:
 // await DURATION TEXT METHOD URL [BODY [HEADER: VALUE]...].
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	limit, err := time.ParseDuration(args[0])
 	ts.Check(err)
+	readBody(ts, args, 4)
 	text := ""
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if text, err = send(args[2:]); err == nil && strings.Contains(text, args[1]) {
@@ -187,7 +299,28 @@
 	ts.Fatalf("no %q within %v; the last answer was %q, error %v", args[1], limit, text, err)
 }
 
-func send(args []string) (string, error) {
+// sender sends requests.
+type sender struct {
+	// from is the local IP address; empty means any.
+	from string
+	// timeout bounds one request; 0 means 20 s.
+	timeout time.Duration
+}
+
+func send(args []string) (string, error) { return sender{}.send(args) }
+
+func (s sender) client() http.Client {
+	if s.timeout == 0 {
+		s.timeout = 20 * time.Second
+	}
+	d := &net.Dialer{}
+	if s.from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(s.from)}
+	}
+	return http.Client{Timeout: s.timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.DialContext}}
+}
+
+func (s sender) send(args []string) (string, error) {
 	var body io.Reader
 	if len(args) > 2 {
 		body = strings.NewReader(args[2])
@@ -200,7 +333,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := s.client()
 	resp, err := client.Do(req)
 	if err != nil {
 		return "", err
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -33,7 +33,11 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand())
+	root.AddCommand(measureCommand())
+	root.AddCommand(outcomesCommand(), latencyCommand())
 	root.AddCommand(standInCommands()...)
+	root.AddCommand(relayCommand())
+	root.AddCommand(membershipCommands()...)
 	return root
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -27,7 +27,6 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/front/receiver"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
-	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -47,7 +46,9 @@
 	queue      *queuer.Queue[*dispatcher.Job]
 	chooser    chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
+	membership membership
 	stopping   atomic.Bool
+	requestParts
 
 	callers   net.Listener
 	operators net.Listener
@@ -59,7 +60,7 @@
 // New builds a node and opens its listeners.
 func New(s configurer.Settings, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, clock: clock, log: log.With().Str("node", s.ID).Logger()}
-	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: &http.Transport{}}
+	platform := connector.Client{Base: s.Platform, Timeout: s.PlatformTimeout, Transport: transportFrom(s.SourceAddress)}
 	n.applier = &applier.Applier{Clock: clock, Table: platform}
 	n.observer = &observer.Observer{
 		Clock:   clock,
@@ -69,12 +70,13 @@
 		Table:   keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.platform = platform
-	builds := []func() error{n.buildAuthority, n.buildDecisions, n.buildRequests, n.buildMembership}
+	builds := []func() error{n.buildMembership, n.buildAuthority, n.buildDecisions, n.buildRequests}
 	for _, build := range builds {
 		if err := build(); err != nil {
 			return nil, err
 		}
 	}
+	n.link()
 	var err error
 	if n.callers, err = listen(s.CallersListen); err != nil {
 		return nil, err
@@ -82,6 +84,7 @@
 	if n.operators, err = listen(s.OperatorsListen); err != nil {
 		return nil, err
 	}
+	n.membership.gossiper.Self.OperatorsAddress = n.OperatorsAddress()
 	return n, nil
 }
 
@@ -104,8 +107,13 @@
 	if n.stopping.Load() {
 		return coder.Refuse(coder.ShuttingDown, "the node is shutting down").WithRetryAfter(time.Second)
 	}
-	_, err := n.applier.Config()
-	return err
+	if _, err := n.applier.Config(); err != nil {
+		return err
+	}
+	if !n.observer.Listed() {
+		return coder.Refuse(coder.NoEndpoint, "the node has not read the list of endpoints").WithRetryAfter(time.Second)
+	}
+	return n.applier.Counted()
 }
 
 // Run serves until ctx is done, then finishes what runs and returns.
@@ -126,6 +134,7 @@
 	callers, operators := n.callersServer(), n.operatorsServer()
 	wg.Go(func() { n.serve(callers, n.callers) })
 	wg.Go(func() { n.serve(operators, n.operators) })
+	wg.Go(n.servePeers)
 	n.log.Info().Str("callers", n.CallersAddress()).Str("data-centre", n.settings.DataCentre).Msg("node started")
 	<-ctx.Done()
 	n.stop(callers)
@@ -144,8 +153,7 @@
 }
 
 func (n *Node) operatorsServer() *http.Server {
-	c := commander.Commander{Log: n.log, Applier: n.applier, CredentialHash: n.settings.OperatorHash}
-	return &http.Server{Handler: c.Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
+	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
 }
 
 func (n *Node) callersServer() *http.Server {
@@ -154,10 +162,14 @@
 	return &http.Server{
 		Handler:           rc.Routes(),
 		ReadHeaderTimeout: limits.HeaderWait,
-		MaxHeaderBytes:    limits.MaxHeader,
+		MaxHeaderBytes:    maxHeader,
 	}
 }
 
+// maxHeader is the greatest limit max-header that the configuration can set;
+// the receiver holds requests to the one in force.
+const maxHeader = 1 << 20
+
 // periodic lists the tasks that run until the node stops.
 func (n *Node) periodic() []runner.Periodic {
 	var tasks []runner.Periodic
@@ -170,6 +182,7 @@
 // stop ends the callers' interface once what runs is finished.
 func (n *Node) stop(server *http.Server) {
 	n.stopping.Store(true)
+	n.membership.gossiper.Drain()
 	n.log.Info().Msg("node drains")
 	// Until the balancer has seen that the node is not ready, it still sends
 	// requests here, and they are served.
