leaser: start releases outside the table's lock

Follow fed its bounded pool while it held the lock of the table of duties. With more than 16 duties in work and one to release, the pool blocks until a step ends, and the step waits for the lock: a deadlock, found by reading. The names are now collected first.

Measured: the tests of authority pass with the race detector; there is no test of more than 16 duties yet.

--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -99,12 +99,17 @@
 	for name, rank := range watches {
 		p.Go(func() { l.step(ctx, name, rank) })
 	}
+	// The pool may block, so it is not fed under the lock of the table.
+	var moved []string
 	l.Duties.Each(func(name string, d duty) bool {
 		if _, ok := watches[name]; !ok && d.mine {
-			p.Go(func() { l.release(ctx, name, duty.withLoss) })
+			moved = append(moved, name)
 		}
 		return true
 	})
+	for _, name := range moved {
+		p.Go(func() { l.release(ctx, name, duty.withLoss) })
+	}
 	p.Wait()
 	return nil
 }
