--- a/internal/authority/leaser/leaser_test.go
+++ b/internal/authority/leaser/leaser_test.go
@@ -103,3 +103,27 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return w.do(t, d) })
 	})
 }
+
+// TestManyDuties guards against a deadlock when more duties than the pool has
+// workers are renewed and others are released in the same pass.
+func TestManyDuties(t *testing.T) {
+	clock := timekeeper.NewFake(time.Unix(0, 0))
+	watches := make(map[string]int)
+	for i := range 100 {
+		watches[fmt.Sprint(i)] = 0
+	}
+	l := &Leaser{Clock: clock, Table: &provider.Memory{Clock: clock}, Name: "a", Watches: func() map[string]int { return watches }}
+	for i := range 40 {
+		if i == 20 {
+			for j := range 50 {
+				delete(watches, fmt.Sprint(j))
+			}
+			clock.Advance(RenewEvery)
+		}
+		_ = l.Follow(context.Background())
+		clock.Advance(FollowEvery)
+	}
+	if n := len(l.Held()); n != 50 {
+		t.Fatalf("%d duties are held, not 50", n)
+	}
+}
