config: a node without evidence is not ready

The time since which the evidence has no gap was still zero, and the time since then therefore longer than any limit. A zero time no longer counts.

--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -145,7 +145,9 @@
 // A member of the roster is known. A node that cannot become one, since a
 // majority is lost, is known from gossip after a while.
 func (a *Applier) Counted() error {
-	if a.Peers == nil || a.roster.Get().Has(a.Self) || a.Clock.Now().Sub(a.cell.Get().Since) > FreshFor+margin {
+	since := a.cell.Get().Since
+	known := !since.IsZero() && a.Clock.Now().Sub(since) > FreshFor+margin
+	if a.Peers == nil || a.roster.Get().Has(a.Self) || known {
 		return nil
 	}
 	return coder.Refuse(coder.ViewNotCurrent, "the other nodes do not know yet that this one runs").WithRetryAfter(time.Second)
