fleet: one rule for endpoints that may be leaving

The drainer judged the age of the list first and read the endpoints after it; a list that arrived in between had its endpoints, none of which had reported yet, marked as draining for a second. It also wrote past the observer, so the prepared candidates and sums were not rebuilt, and with 12,000 workers, which report in turns, its fixed limit of 4 s would have drained all of them in an outage of the list. The observer has the same rule with the turns taken into account, so the drainer now only carries drains, through the observer. The test of the drainer moved to the observer with the same assertions.

--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -34,8 +34,6 @@
 	// Random is a random number from which the policy draws.
 	Random uint64
 	Now    time.Time
-
-	unconfirmed bool
 }
 
 // NormalPriority is the priority of a route that sets none.
@@ -115,7 +113,8 @@
 // Pick chooses one of the candidates.
 //
 // If none is fit, the requirements are given up one after the other: the role,
-// engine memory, a recent confirmation, and an endpoint not tried before.
+// engine memory, and an endpoint not tried before. An endpoint that may be
+// leaving is never chosen, not even as the last one.
 func (p Picker[P]) Pick(n Need, v View) Choice {
 	c := Choice{Out: v.Set.out}
 	if probe(&n, v, &c) || p.Policy.Choose(&n, v, &c) {
@@ -126,11 +125,6 @@
 		c.Reason = "no other role or memory; " + c.Reason
 		return c
 	}
-	n.unconfirmed = true
-	if e, ok := v.Draw(&n, v.Set.last, &c); ok {
-		c.take(e, "none other confirmed")
-		return c
-	}
 	tried := n.Tried
 	n.Tried = nil
 	if e, ok := v.Draw(&n, tried, &c); ok {
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -17,9 +17,7 @@
 	all     [len(phases)][]string
 	local   [len(phases)]map[string][]string
 	ejected []string
-	// last are endpoints that are used only if there is no other.
-	last []string
-	out  []Rejected
+	out     []Rejected
 }
 
 // maxOut bounds the endpoints whose exclusion a decision line explains.
@@ -39,8 +37,6 @@
 		switch reason {
 		case ReasonEjected:
 			s.ejected = append(s.ejected, e.ID)
-		case ReasonUnconfirmed:
-			s.last = append(s.last, e.ID)
 		case "":
 			for i, phase := range phases {
 				if e.Report.Role.Serves(phase) {
@@ -154,7 +150,7 @@
 
 // exclude says why an endpoint is not fit for a need, or "".
 func exclude(n *Need, e Endpoint) Reason {
-	if reason := Status(e); reason != "" && (reason != ReasonUnconfirmed || !n.unconfirmed) {
+	if reason := Status(e); reason != "" {
 		return reason
 	}
 	for _, t := range n.Tried {
--- a/internal/fleet/drainer/drainer.go
+++ b/internal/fleet/drainer/drainer.go
@@ -8,10 +8,8 @@
 // nothing in flight.
 //
 // An endpoint that leaves by itself gets no new work either: the platform's
-// list and the endpoint's own signal mark it in the endpoint table. If the
-// list is too old to tell, an endpoint that stopped reporting counts as gone,
-// and one that still reports stays in use, so that an outage of the list does
-// not take the whole fleet away.
+// list, the endpoint's own signal and missing reports mark it in the endpoint
+// table, which the observer keeps.
 package drainer
 
 import (
@@ -38,22 +36,22 @@
 	// between two reads with its jitter, one call, and a request that is being
 	// sent meanwhile. It leaves a second of the bound of 5 s for leaving endpoints.
 	NoticeWait = 4 * time.Second
-	// ListLimit is the age from which the platform's list tells nothing.
-	ListLimit = 10 * time.Second
-	// ReportLimit is the age from which a load report no longer shows that the
-	// endpoint runs.
-	ReportLimit = 4 * time.Second
 )
 
+// Endpoints is the node's table of endpoints.
+type Endpoints interface {
+	// All returns the endpoints, in no order.
+	All() []picker.Endpoint
+	// SetDraining marks an endpoint as draining or not.
+	SetDraining(id string, draining bool)
+}
+
 // Drainer marks the endpoints that get no new work.
 type Drainer struct {
-	Clock timekeeper.Clock
-	Log   zerolog.Logger
-	Table transactor.Table
-	// Endpoints is the node's table of endpoints.
-	Endpoints *keeper.Table[string, picker.Endpoint]
-	// List tells how old the platform's list is.
-	List *Lister
+	Clock     timekeeper.Clock
+	Log       zerolog.Logger
+	Table     transactor.Table
+	Endpoints Endpoints
 
 	notices keeper.Cell[notices]
 }
@@ -95,18 +93,13 @@
 // mark sets in the endpoint table which endpoints get no new work.
 func (d *Drainer) mark() {
 	listed := d.notices.Get()
-	listOld := d.List.Old(ListLimit)
-	now := d.Clock.Now()
-	for _, e := range d.Endpoints.Values() {
+	for _, e := range d.Endpoints.All() {
 		_, draining := listed.since(e.ID)
-		draining = draining || listOld && now.Sub(e.Report.At) > ReportLimit
 		if draining == e.Draining {
 			continue
 		}
-		d.Log.Info().Str("endpoint", e.ID).Bool("draining", draining).Bool("list-old", listOld).Msg("drain changed")
-		d.Endpoints.Update(e.ID, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
-			return e.WithDraining(draining), ok
-		})
+		d.Log.Info().Str("endpoint", e.ID).Bool("draining", draining).Msg("drain changed")
+		d.Endpoints.SetDraining(e.ID, draining)
 	}
 }
 
--- a/internal/fleet/drainer/drainer_test.go
+++ b/internal/fleet/drainer/drainer_test.go
@@ -18,22 +18,27 @@
 
 var ctx = context.Background()
 
+// endpoints is a node's table of endpoints.
+type endpoints struct {
+	keeper.Table[string, picker.Endpoint]
+}
+
+func (e *endpoints) All() []picker.Endpoint { return e.Values() }
+
+func (e *endpoints) SetDraining(id string, draining bool) {
+	e.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) { return e.WithDraining(draining), ok })
+}
+
 func node(clock *timekeeper.Fake, m *provider.Memory) *drainer.Drainer {
-	d := &drainer.Drainer{
-		Clock:     clock,
-		Table:     m,
-		Endpoints: &keeper.Table[string, picker.Endpoint]{},
-		List:      &drainer.Lister{Clock: clock, VMs: m},
-	}
+	table := &endpoints{}
 	for _, id := range []string{"e1", "e2"} {
-		d.Endpoints.Put(id, picker.Endpoint{ID: id, Deployment: "d", Report: picker.Report{At: clock.Now()}})
+		table.Put(id, picker.Endpoint{ID: id, Deployment: "d"})
 	}
-	_, _, _ = d.List.List(ctx)
-	return d
+	return &drainer.Drainer{Clock: clock, Table: m, Endpoints: table}
 }
 
 func drains(d *drainer.Drainer, id string) bool {
-	e, _ := d.Endpoints.Get(id)
+	e, _ := d.Endpoints.(*endpoints).Get(id)
 	return e.Draining
 }
 
@@ -68,28 +73,3 @@
 	is.NoErr(other.Refresh(ctx))
 	is.True(!drains(other, "e1"))
 }
-
-// TestOldList guards against new work for an endpoint that is gone while the
-// platform's list is too old to say so, and against taking away those that
-// still report.
-func TestOldList(t *testing.T) {
-	is := is.New(t)
-	clock := timekeeper.NewFake(time.Unix(0, 0))
-	m := &provider.Memory{Clock: clock}
-	d := node(clock, m)
-	m.SetFaults(provider.Faults{FleetDown: true})
-	for range 11 {
-		clock.Advance(time.Second)
-		_, _, _ = d.List.List(ctx)
-		d.Endpoints.Update("e1", func(e picker.Endpoint, _ bool) (picker.Endpoint, bool) {
-			return e.WithReport(picker.Report{At: clock.Now()}), true
-		})
-		is.NoErr(d.Refresh(ctx))
-	}
-	is.True(!drains(d, "e1")) // reports, so it runs
-	is.True(drains(d, "e2"))  // silent for longer than the limit
-	m.SetFaults(provider.Faults{})
-	_, _, _ = d.List.List(ctx)
-	is.NoErr(d.Refresh(ctx))
-	is.True(!drains(d, "e2")) // the list is current again and has it
-}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -83,6 +83,9 @@
 	return s
 }
 
+// All returns the endpoints, in no order.
+func (o *Observer) All() []picker.Endpoint { return o.Table.Values() }
+
 // Of returns the endpoints of a deployment, in the order of the platform's list.
 func (o *Observer) Of(deployment string) []picker.Endpoint {
 	g, _ := o.groups.Get(deployment)
--- /dev/null
+++ b/internal/fleet/observer/old_list_test.go
@@ -0,0 +1,72 @@
+package observer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/lab/provider"
+	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+)
+
+// silent answers for every endpoint but one.
+type silent string
+
+func (s silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Host == string(s) {
+		return nil, errors.New("no answer")
+	}
+	body := io.NopCloser(bytes.NewReader(speaker.EncodeLoad(speaker.Load{Role: "both", FreePieces: 10})))
+	return &http.Response{StatusCode: http.StatusOK, Body: body, Request: r}, nil
+}
+
+// TestOldList guards H10: new work for an endpoint that is gone while the
+// platform's list is too old to say so, and against taking away those that
+// still report.
+func TestOldList(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := timekeeper.NewFake(time.Unix(1000, 0))
+	m := &provider.Memory{Clock: clock}
+	m.SetVMs([]transactor.VM{
+		{ID: "e1", Address: "e1", Deployment: "d", State: transactor.Live},
+		{ID: "e2", Address: "e2", Deployment: "d", State: transactor.Live},
+	})
+	o := &observer.Observer{Clock: clock, Log: zerolog.Nop(), VMs: m, Engines: speaker.Client{Transport: silent("e2")}}
+	chosen := func() map[string]bool {
+		ids := make(map[string]bool)
+		for i := range uint64(64) {
+			n := picker.Need{Random: i, Now: clock.Now()}
+			if c := (picker.Picker[picker.TwoChoices]{}).Pick(n, o.View("d")); c.OK {
+				ids[c.Endpoint.ID] = true
+			}
+		}
+		return ids
+	}
+	is.NoErr(o.RefreshList(ctx))
+	is.NoErr(o.RefreshLoad(ctx))
+	is.True(chosen()["e2"]) // the list is current and has it
+	m.SetFaults(provider.Faults{FleetDown: true})
+	for range 11 {
+		clock.Advance(time.Second)
+		is.True(o.RefreshList(ctx) != nil)
+		is.NoErr(o.RefreshLoad(ctx))
+	}
+	is.True(chosen()["e1"])  // reports, so it runs
+	is.True(!chosen()["e2"]) // silent for longer than the limit
+	m.SetFaults(provider.Faults{})
+	is.NoErr(o.RefreshList(ctx))
+	is.NoErr(o.RefreshLoad(ctx))
+	is.True(chosen()["e2"]) // the list is current again and has it
+}
--- a/internal/node/assembler/authority.go
+++ b/internal/node/assembler/authority.go
@@ -43,14 +43,11 @@
 		Watches: func() map[string]int { return n.assigner().Watches() },
 	}
 	n.leaser.Duties.Rank = keeper.RankLeases
-	list := &drainer.Lister{Clock: n.clock, VMs: n.observer.VMs}
-	n.observer.VMs = list
 	n.drainer = &drainer.Drainer{
 		Clock:     n.clock,
 		Log:       n.log,
 		Table:     n.platform,
-		Endpoints: &n.observer.Table,
-		List:      list,
+		Endpoints: n.observer,
 	}
 	n.orderer = &orderer.Orderer{
 		Clock:         n.clock,
