member: a node row that was not written is tried again soon

Nodes that started before the platform wrote their rows a minute later, and did not find each other until then; a change was answered 307 meanwhile. A task may now have a shorter delay after a failure, 2 s here. Without it the script nodes-first fails: no address of the other node within 15 s. With it both nodes have it.

--- a/internal/base/runner/pool.go
+++ b/internal/base/runner/pool.go
@@ -58,7 +58,9 @@
 	Name string
 	// Every is the mean delay between two runs.
 	Every time.Duration
-	// Jitter is the share of Every by which the delay varies; 0.2 means ±20%.
+	// Retry is the mean delay after a run that failed; 0 means Every.
+	Retry time.Duration
+	// Jitter is the share by which a delay varies; 0.2 means ±20%.
 	Jitter float64
 	// Task is run; its error is logged.
 	Task func(ctx context.Context) error
@@ -67,16 +69,20 @@
 // Run runs the task until ctx is done.
 func (p Periodic) Run(ctx context.Context, clock timekeeper.Clock, log zerolog.Logger) {
 	for {
+		wait := p.Every
 		if err := p.Task(ctx); err != nil && ctx.Err() == nil {
 			log.Warn().Str("task", p.Name).Err(err).Msg("periodic task failed")
+			if p.Retry > 0 {
+				wait = p.Retry
+			}
 		}
-		if clock.Sleep(ctx, p.delay()) != nil {
+		if clock.Sleep(ctx, p.vary(wait)) != nil {
 			return
 		}
 	}
 }
 
-func (p Periodic) delay() time.Duration {
+func (p Periodic) vary(d time.Duration) time.Duration {
 	f := 1 + p.Jitter*(2*rand.Float64()-1)
-	return time.Duration(float64(p.Every) * f)
+	return time.Duration(float64(d) * f)
 }
--- a/internal/node/assembler/membership.go
+++ b/internal/node/assembler/membership.go
@@ -20,6 +20,8 @@
 	headEvery   = time.Second
 	gossipEvery = time.Second
 	rosterEvery = time.Second
+	// rowRetry is short, because nodes that start find each other by their rows.
+	rowRetry = 2 * time.Second
 	// peerWait bounds one message between nodes. A peer that does not answer
 	// must not delay a round so long that the evidence of the others runs out.
 	peerWait = 700 * time.Millisecond
@@ -101,7 +103,7 @@
 		{Name: "configuration", Every: headEvery, Jitter: jitter, Task: n.applier.Follow},
 		{Name: "gossip", Every: gossipEvery, Jitter: jitter, Task: n.gossip},
 		{Name: "roster", Every: rosterEvery, Jitter: jitter, Task: n.applier.JoinOnceLoaded},
-		{Name: "node-row", Every: gossiper.RefreshEvery, Jitter: jitter, Task: rows.Refresh},
+		{Name: "node-row", Every: gossiper.RefreshEvery, Retry: rowRetry, Jitter: jitter, Task: rows.Refresh},
 		{Name: "node-rows", Every: gossipEvery, Jitter: jitter, Task: rows.Scan},
 	}
 }
