--- a/internal/request/attempter/attempter_test.go
+++ b/internal/request/attempter/attempter_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/lab/seeder"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
 )
 
@@ -73,6 +74,7 @@
 // request that is not idempotent is then never tried again.
 func TestNeverNotRunOnceSent(t *testing.T) {
 	names := []string{"claim-held", "send-began", "send-ended", "answer-began", "answer-ended", "endpoint-refused", "failed"}
+	seeder.Rapid()
 	rapid.Check(t, func(t *rapid.T) {
 		words := rapid.SliceOfN(rapid.SampledFrom(names), 1, 8).Draw(t, "events")
 		var a attempter.Attempt
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
+	"foxtailflow.example/foxtailflow/internal/lab/seeder"
 	"foxtailflow.example/foxtailflow/internal/request/retrier"
 )
 
@@ -31,6 +32,7 @@
 // TestBudget guards the bound on retries: a retry storm gets no more than the
 // reserve and the share of the requests.
 func TestBudget(t *testing.T) {
+	seeder.Rapid()
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
 		var b retrier.Bucket
