admitter: one heap with the order as a policy

Three heaps had the same moves and differed in their comparison and in where an element keeps its position.

--- a/internal/decision/admitter/fair.go
+++ b/internal/decision/admitter/fair.go
@@ -30,8 +30,8 @@
 // It is not safe for concurrent use; the queue that holds it locks it.
 type Fair[T any] struct {
 	lines     map[string]*line[T]
-	active    lineHeap[T]
-	deadlines deadlineHeap[T]
+	active    ordered[*line[T], byStart[T]]
+	deadlines ordered[*queued[T], byDeadline[T]]
 	// virtual is the start of the item served last.
 	virtual float64
 	shares  float64
@@ -49,7 +49,7 @@
 	work  float64
 	// byPriority is the work of the items by their priority.
 	byPriority [priorities]float64
-	items      itemHeap[T]
+	items      ordered[*queued[T], byPriority[T]]
 	place      int
 	// turn orders accounts with the same start: the one served longest ago first.
 	turn uint64
--- a/internal/decision/admitter/heaps.go
+++ b/internal/decision/admitter/heaps.go
@@ -1,95 +1,76 @@
 package admitter
 
-// lineHeap has the account that starts first on top.
-type lineHeap[T any] []*line[T]
+// order is the policy of a heap.
+type order[E any] interface {
+	// before reports whether a comes before b.
+	before(a, b E) bool
+	// place tells an element its position in the heap.
+	place(e E, position int)
+}
 
-func (h lineHeap[T]) Len() int { return len(h) }
+// ordered is a heap whose elements know their positions, so that any of them
+// can be moved or removed. It is used through container/heap.
+type ordered[E any, O order[E]] []E
 
-func (h lineHeap[T]) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].turn < h[j].turn
+func (h ordered[E, O]) Len() int { return len(h) }
+
+func (h ordered[E, O]) Less(i, j int) bool {
+	var o O
+	return o.before(h[i], h[j])
 }
 
-func (h lineHeap[T]) Swap(i, j int) {
+func (h ordered[E, O]) Swap(i, j int) {
+	var o O
 	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+	o.place(h[i], i)
+	o.place(h[j], j)
 }
 
-// Push adds a line; it is called by container/heap.
-func (h *lineHeap[T]) Push(x any) {
-	l := x.(*line[T])
-	l.place = len(*h)
-	*h = append(*h, l)
+// Push adds an element; it is called by container/heap.
+func (h *ordered[E, O]) Push(x any) {
+	var o O
+	e := x.(E)
+	o.place(e, len(*h))
+	*h = append(*h, e)
 }
 
-// Pop removes the last line; it is called by container/heap.
-func (h *lineHeap[T]) Pop() any {
+// Pop removes the last element; it is called by container/heap.
+func (h *ordered[E, O]) Pop() any {
+	var none E
 	old := *h
-	l := old[len(old)-1]
-	old[len(old)-1] = nil
+	e := old[len(old)-1]
+	old[len(old)-1] = none
 	*h = old[:len(old)-1]
-	return l
+	return e
 }
 
-// itemHeap has the highest priority on top, and of equal ones the oldest.
-type itemHeap[T any] []*queued[T]
+// byStart has the account that starts first on top.
+type byStart[T any] struct{}
 
-func (h itemHeap[T]) Len() int { return len(h) }
-
-func (h itemHeap[T]) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority > h[j].Priority
+func (byStart[T]) before(a, b *line[T]) bool {
+	if a.start != b.start {
+		return a.start < b.start
 	}
-	return h[i].serial < h[j].serial
+	return a.turn < b.turn
 }
 
-func (h itemHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
+func (byStart[T]) place(l *line[T], position int) { l.place = position }
 
-// Push adds an item; it is called by container/heap.
-func (h *itemHeap[T]) Push(x any) {
-	q := x.(*queued[T])
-	q.place = len(*h)
-	*h = append(*h, q)
-}
+// byPriority has the highest priority on top, and of equal ones the oldest.
+type byPriority[T any] struct{}
 
-// Pop removes the last item; it is called by container/heap.
-func (h *itemHeap[T]) Pop() any {
-	old := *h
-	q := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return q
+func (byPriority[T]) before(a, b *queued[T]) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	return a.serial < b.serial
 }
 
-// deadlineHeap has the earliest deadline on top.
-type deadlineHeap[T any] []*queued[T]
+func (byPriority[T]) place(q *queued[T], position int) { q.place = position }
 
-func (h deadlineHeap[T]) Len() int { return len(h) }
+// byDeadline has the earliest deadline on top.
+type byDeadline[T any] struct{}
 
-func (h deadlineHeap[T]) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+func (byDeadline[T]) before(a, b *queued[T]) bool { return a.Deadline.Before(b.Deadline) }
 
-func (h deadlineHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].due, h[j].due = i, j
-}
-
-// Push adds an item; it is called by container/heap.
-func (h *deadlineHeap[T]) Push(x any) {
-	q := x.(*queued[T])
-	q.due = len(*h)
-	*h = append(*h, q)
-}
-
-// Pop removes the last item; it is called by container/heap.
-func (h *deadlineHeap[T]) Pop() any {
-	old := *h
-	q := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return q
-}
+func (byDeadline[T]) place(q *queued[T], position int) { q.due = position }
