front: the list of models needs a current configuration

GET /v1/models identified the caller without a check of freshness, so a node that was cut off listed models for a withdrawn key. Open models are still listed.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -86,6 +86,10 @@
 		return
 	}
 	caller, err := authenticator.Identify(cfg, r.Header.Get("Authorization"))
+	if err == nil {
+		// A key that is withdrawn elsewhere must not work here either.
+		err = rc.Views.Current()
+	}
 	var served []definer.Route
 	for _, route := range cfg.Routes() {
 		open := route.Access == definer.Open
