node: header-wait is a setting of the node

The limit header-wait could be configured and had no effect: the server takes it at its start, before any configuration is loaded. It is now a setting in [callers].

--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -167,7 +167,6 @@
 	MaxBody     int64
 	MaxHeader   int
 	MaxQueue    int
-	HeaderWait  time.Duration
 	BodyWait    time.Duration
 	WriteWait   time.Duration
 	ClaimFor    time.Duration
@@ -185,7 +184,6 @@
 		MaxBody:     4 << 20,
 		MaxHeader:   64 << 10,
 		MaxQueue:    10_000,
-		HeaderWait:  5 * time.Second,
 		BodyWait:    30 * time.Second,
 		WriteWait:   10 * time.Second,
 		ClaimFor:    24 * time.Hour,
--- a/internal/config/merger/decode.go
+++ b/internal/config/merger/decode.go
@@ -94,7 +94,6 @@
 	"max-body":     size(1, 1<<30, func(l *definer.Limits, n int64) { l.MaxBody = n }),
 	"max-header":   number(1024, 1<<20, func(l *definer.Limits, n int) { l.MaxHeader = n }),
 	"max-queue":    number(1, 1_000_000, func(l *definer.Limits, n int) { l.MaxQueue = n }),
-	"header-wait":  duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.HeaderWait = d }),
 	"body-wait":    duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.BodyWait = d }),
 	"write-wait":   duration(10*time.Millisecond, time.Hour, func(l *definer.Limits, d time.Duration) { l.WriteWait = d }),
 	"claim-for":    duration(time.Minute, 30*24*time.Hour, func(l *definer.Limits, d time.Duration) { l.ClaimFor = d }),
--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -186,6 +186,7 @@
 		OperatorHash:    authenticator.Hash(w.plan.OperatorSecret),
 		Workers:         256,
 		ConnectWait:     500 * time.Millisecond,
+		HeaderWait:      connectionLimit,
 		LoadEvery:       100 * time.Millisecond,
 		LeaveWait:       10 * time.Millisecond,
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -153,15 +153,14 @@
 }
 
 func (n *Node) operatorsServer() *http.Server {
-	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: definer.DefaultLimits().HeaderWait}
+	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: n.settings.HeaderWait}
 }
 
 func (n *Node) callersServer() *http.Server {
-	limits := definer.DefaultLimits()
 	rc := receiver.Receiver{Clock: n.clock, Log: n.log, Views: n.applier, Handler: n.dispatcher, Ready: n.Ready}
 	return &http.Server{
 		Handler:           rc.Routes(),
-		ReadHeaderTimeout: limits.HeaderWait,
+		ReadHeaderTimeout: n.settings.HeaderWait,
 		MaxHeaderBytes:    maxHeader,
 	}
 }
--- a/internal/node/configurer/settings.go
+++ b/internal/node/configurer/settings.go
@@ -33,6 +33,8 @@
 	PeersListen     string
 	// PeersAdvertise is the address at which peers reach the node.
 	PeersAdvertise string
+	// HeaderWait is the time for the header of a request to arrive.
+	HeaderWait time.Duration
 	// SourceAddress is the local IP of outgoing connections; empty means any.
 	SourceAddress string
 	// Peers are addresses to ask when the platform cannot be reached at start.
@@ -60,7 +62,7 @@
 // known lists the keys of each section.
 var known = map[string][]string{
 	"node":      {"id", "data-centre", "workers", "connect-wait", "load-every", "leave-wait", "log-level"},
-	"callers":   {"listen"},
+	"callers":   {"listen", "header-wait"},
 	"operators": {"listen", "credential-hash"},
 	"peers":     {"listen", "advertise", "source-address", "addresses"},
 	"platform":  {"address", "timeout", "order-connection-limit"},
@@ -93,6 +95,7 @@
 		LeaveWait:       r.duration("node", "leave-wait", 2*time.Second),
 		LogLevel:        r.level("node", "log-level", "info"),
 		CallersListen:   r.address("callers", "listen"),
+		HeaderWait:      r.duration("callers", "header-wait", 5*time.Second),
 		OperatorsListen: r.address("operators", "listen"),
 		PeersListen:     r.address("peers", "listen"),
 		SourceAddress:   r.ip("peers", "source-address"),
