member: nodes that start together read the rows again at once

Cause: a node whose first reading of the node rows came before the others had written theirs found them only at the next one, 10 s later. Until then it could not join the roster, and a withdrawal was answered 307. Ruled out: the store and the roster's compare-and-set, whose lines show no failure. The first ten readings now follow each other each second.

--- a/internal/member/gossiper/rows.go
+++ b/internal/member/gossiper/rows.go
@@ -28,6 +28,10 @@
 	// a second.
 	scanEvery   = 10 * time.Second
 	scanPerNode = 115 * time.Millisecond
+	// firstScans follow each other without that delay: nodes that start together
+	// read before the others have written, and would not find each other until
+	// the next reading.
+	firstScans = 10
 )
 
 // Roster is the list of the nodes that count for a majority.
@@ -58,6 +62,16 @@
 	rows map[string]watched
 	// scanned is when the last reading began.
 	scanned time.Time
+	// scans counts the readings.
+	scans int
+}
+
+// due reports whether it is time for the next reading.
+func (w watch) due(now time.Time, nodes int) bool {
+	if w.scans < firstScans {
+		return true
+	}
+	return now.Sub(w.scanned) >= max(scanEvery, time.Duration(nodes)*scanPerNode)
 }
 
 type watched struct {
@@ -69,7 +83,7 @@
 //
 // Version 0 stands for a row that is missing.
 func (w watch) WithScan(versions map[string]uint64, at time.Time) watch {
-	next := watch{rows: make(map[string]watched, len(versions)), scanned: at}
+	next := watch{rows: make(map[string]watched, len(versions)), scanned: at, scans: w.scans + 1}
 	for key, version := range versions {
 		now := watched{version: version, since: at}
 		if before, ok := w.rows[key]; ok && before.version == version {
@@ -109,14 +123,14 @@
 func (r *Rows) Scan(ctx context.Context) error {
 	began := r.Clock.Now()
 	w := r.watch.Get()
-	if began.Sub(w.scanned) < max(scanEvery, time.Duration(r.Gossiper.peers.Len())*scanPerNode) {
+	if !w.due(began, r.Gossiper.peers.Len()) {
 		return nil
 	}
 	rows, err := transactor.ScanAll(ctx, r.Table, RowPrefix)
 	if err != nil {
 		// While the store is away no node can refresh its row, so that all of
 		// them get the whole time again once it is back.
-		r.watch.Update(func(watch) (watch, bool) { return watch{scanned: began}, true })
+		r.watch.Update(func(w watch) (watch, bool) { return watch{scanned: began, scans: w.scans + 1}, true })
 		return err
 	}
 	versions := make(map[string]uint64, len(rows))
@@ -174,7 +188,7 @@
 		r.watch.Update(func(w watch) (watch, bool) {
 			rows := maps.Clone(w.rows)
 			delete(rows, m)
-			return watch{rows: rows, scanned: w.scanned}, true
+			return watch{rows: rows, scanned: w.scanned, scans: w.scans}, true
 		})
 	}
 	return nil
