--- a/internal/lab/demonstrator/demo.go
+++ b/internal/lab/demonstrator/demo.go
@@ -17,7 +17,6 @@
 
 	"github.com/rs/zerolog"
 
-	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/assembler"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
@@ -41,35 +40,12 @@
 	model          = "wichse-llm"
 )
 
-const configuration = `
+const further = `
 [client-account "baden"]
 share = 2
 
 [client-account "olten"]
 
-[key "key-baden"]
-client-account = baden
-hash = %s
-
-[deployment "wichse-llm"]
-kind = model
-model = wichse-llm
-
-[route "recipes"]
-kind = model
-model = wichse-llm
-deployment = wichse-llm
-deadline = 10s
-
-[deployment "ladentisch"]
-kind = plain
-
-[route "orders"]
-kind = plain
-path = /orders
-deployment = ladentisch
-deadline = 5s
-
 [limits]
 usage-groups = 1
 usage-window = 1s
@@ -85,7 +61,7 @@
 		Engines:         2,
 		Services:        1,
 		Engine:          generator.Settings{Model: model, PrefillRate: 20_000, DecodeRate: 400, Slots: 16, Pieces: 1000},
-		Files:           map[string]string{"demo.ini": fmt.Sprintf(configuration, authenticator.HashText(callerSecret))},
+		Files:           assembler.Configuration(callerSecret, further),
 		ModelDeployment: "wichse-llm",
 		PlainDeployment: "ladentisch",
 		OperatorSecret:  operatorSecret,
--- a/internal/lab/measurer/outcomes.go
+++ b/internal/lab/measurer/outcomes.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
-	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/assembler"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
@@ -50,33 +49,12 @@
 	modelDeadline  = 10 * time.Second
 	orderDeadline  = 5 * time.Second
 	outcomesConfig = `
-[client-account "baden"]
-
-[key "key-1"]
-client-account = baden
-hash = %s
-
 [deployment "wichse-llm"]
-kind = model
-model = wichse-llm
 slots = 64
 
-[route "recipes"]
-kind = model
-model = wichse-llm
-deployment = wichse-llm
-deadline = 10s
-
 [deployment "ladentisch"]
-kind = plain
 slots = 256
 
-[route "orders"]
-kind = plain
-path = /orders
-deployment = ladentisch
-deadline = 5s
-
 [route "stock"]
 kind = plain
 path = /stock
@@ -95,7 +73,7 @@
 	return assembler.Plan{
 		Nodes: nodes, Engines: engines, Services: services,
 		Engine:          generator.Settings{Model: "wichse-llm", PrefillRate: 200_000, DecodeRate: 20_000, Slots: 64, Pieces: 8000},
-		Files:           map[string]string{"measure.ini": fmt.Sprintf(outcomesConfig, authenticator.HashText(outcomesSecret))},
+		Files:           assembler.Configuration(outcomesSecret, outcomesConfig),
 		ModelDeployment: "wichse-llm",
 		PlainDeployment: "ladentisch",
 		OperatorSecret:  "operator",
--- a/internal/request/dispatcher/session_test.go
+++ b/internal/request/dispatcher/session_test.go
@@ -18,7 +18,6 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
-	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/lab/assembler"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
@@ -30,33 +29,6 @@
 
 const secret = "ff-session"
 
-const configuration = `
-[client-account "baden"]
-
-[key "key-1"]
-client-account = baden
-hash = %s
-
-[deployment "wichse-llm"]
-kind = model
-model = wichse-llm
-
-[route "recipes"]
-kind = model
-model = wichse-llm
-deployment = wichse-llm
-deadline = 10s
-
-[deployment "ladentisch"]
-kind = plain
-
-[route "orders"]
-kind = plain
-path = /orders
-deployment = ladentisch
-deadline = 5s
-`
-
 // TestSessions guards H7, H8 and H9 by golden files of whole sessions: each
 // command is what callers, operators or faults do, its output what they see.
 func TestSessions(t *testing.T) {
@@ -139,7 +111,7 @@
 	w, err := assembler.New(context.Background(), assembler.Plan{
 		Nodes: s.number(d, "nodes"), Engines: s.number(d, "engines"), Services: s.number(d, "services"),
 		Engine:          generator.Settings{Model: "wichse-llm", PrefillRate: 20_000, DecodeRate: 400, Slots: 16, Pieces: 1000},
-		Files:           map[string]string{"main.ini": fmt.Sprintf(configuration, authenticator.HashText(secret))},
+		Files:           assembler.Configuration(secret, ""),
 		ModelDeployment: "wichse-llm",
 		PlainDeployment: "ladentisch",
 		OperatorSecret:  "operator",
