--- a/internal/decision/forecaster/forecaster.go
+++ b/internal/decision/forecaster/forecaster.go
@@ -51,9 +51,7 @@
 	level Demand
 	// trend is the change of the level a second.
 	trend Demand
-	// spread is the mean distance of samples from the forecast.
-	spread Demand
-	seen   int
+	seen  int
 }
 
 // WithSample returns a forecast that has seen the demand d up to the time at.
@@ -73,16 +71,12 @@
 	expected := f.level.Add(trendNow.Scale(s)).Max(Demand{})
 	level := mix(expected, d, a)
 	trend := mix(trendNow, level.Add(f.level.Scale(-1)).Scale(1/s), b)
-	off := Demand{Prefill: math.Abs(d.Prefill - expected.Prefill), Decode: math.Abs(d.Decode - expected.Decode)}
-	return Forecast{at: at, level: level, trend: trend, spread: mix(f.spread, off, b), seen: f.seen + 1}
+	return Forecast{at: at, level: level, trend: trend, seen: f.seen + 1}
 }
 
 // Level returns the present demand.
 func (f Forecast) Level() Demand { return f.level }
 
-// Spread returns the mean distance of samples from what was forecast.
-func (f Forecast) Spread() Demand { return f.spread }
-
 // Seen returns the number of samples.
 func (f Forecast) Seen() int { return f.seen }
 
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -13,7 +13,6 @@
 // rebuilt when an endpoint comes, goes, changes its role or its fitness. A
 // choice draws from it without a pass over all endpoints. It is immutable.
 type Set struct {
-	size    int
 	all     [len(phases)][]string
 	local   [len(phases)]map[string][]string
 	ejected []string
@@ -25,7 +24,7 @@
 
 // NewSet returns the candidates among the endpoints of a deployment.
 func NewSet(endpoints []Endpoint) Set {
-	s := Set{size: len(endpoints)}
+	var s Set
 	for i := range phases {
 		s.local[i] = make(map[string][]string)
 	}
@@ -49,9 +48,6 @@
 	return s
 }
 
-// Size returns the number of endpoints of the deployment.
-func (s Set) Size() int { return s.size }
-
 // Fit returns the number of endpoints that take new work.
 func (s Set) Fit() int { return len(s.all[index(Both)]) }
 
--- a/internal/lab/provider/faults.go
+++ b/internal/lab/provider/faults.go
@@ -55,13 +55,6 @@
 	m.faults = f
 }
 
-// CurrentFaults returns the failures.
-func (m *Memory) CurrentFaults() Faults {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.faults
-}
-
 // admit counts a call, delays it, and refuses it beyond the rate limit or
 // during an outage.
 func (m *Memory) admit(ctx context.Context, o op) error {
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -80,12 +80,6 @@
 	return r
 }
 
-// WithDeadline returns a copy with another deadline.
-func (r Request) WithDeadline(t time.Time) Request {
-	r.Deadline = t
-	return r
-}
-
 // Work estimates the tokens that the request costs an engine.
 func (r Request) Work() int { return r.PromptTokens + r.MaxTokens }
 
