--- a/internal/authority/leaser/grant.go
+++ b/internal/authority/leaser/grant.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Grant is a lease that this node holds, as it was when it was looked at.
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -13,7 +13,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // The times of a lease.
--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -51,12 +51,16 @@
 	NoEndpoint      Code = 405
 	WouldMissTime   Code = 406
 	ShuttingDown    Code = 407
+	ConnectionsFull Code = 408
 
 	EndpointUnreachable Code = 501
 	EndpointFailed      Code = 502
 	AnswerCut           Code = 503
 	AnswerCrossed       Code = 504
 	EndpointRefused     Code = 505
+	ConnectionLost      Code = 506
+	EndpointReplaced    Code = 507
+	AnswerLate          Code = 508
 
 	PlatformUnavailable Code = 601
 	PlatformConflict    Code = 602
@@ -66,6 +70,7 @@
 	ObjectExists        Code = 606
 	RowUnknown          Code = 607
 	BudgetSpent         Code = 608
+	HistoryGone         Code = 609
 
 	LeaseNotHeld  Code = 701
 	StaleFencing  Code = 702
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -29,7 +29,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // FreshFor is how long a node answers for keys after it last knew that its
--- a/internal/config/applier/cluster_test.go
+++ b/internal/config/applier/cluster_test.go
@@ -18,7 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/member/gossiper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // TestCluster runs nodes over a fake clock and links that can be cut; each file
--- a/internal/config/applier/log.go
+++ b/internal/config/applier/log.go
@@ -6,7 +6,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // The rows of the change log.
--- a/internal/config/applier/propose.go
+++ b/internal/config/applier/propose.go
@@ -10,7 +10,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Acceptance is how far an accepted change has come.
--- a/internal/config/applier/roster.go
+++ b/internal/config/applier/roster.go
@@ -13,7 +13,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // RosterKey is the row with the nodes that count for a majority.
--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -8,8 +8,6 @@
 
 import (
 	"time"
-
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Account is a client account.
@@ -125,10 +123,20 @@
 	FencingIgnored Fencing = "ignored"
 )
 
+// Tier is the price class of an endpoint.
+type Tier string
+
+// The price classes. Endpoints of the tier Spot may be withdrawn, all of a data
+// centre at once.
+const (
+	OnDemand Tier = "on-demand"
+	Spot     Tier = "spot"
+)
+
 // Placement is the number of endpoints wanted in one data centre and tier.
 type Placement struct {
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       Tier
 	Min        int
 	Max        int
 	// Cost is the price of one endpoint for an hour, in thousandths of the
--- a/internal/config/merger/decode.go
+++ b/internal/config/merger/decode.go
@@ -7,7 +7,6 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/config/parser"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // The kinds of section.
@@ -84,7 +83,7 @@
 var placementFields = fields[placement]{
 	"deployment":  text(func(p *placement, s string) { p.deployment = s }),
 	"data-centre": text(func(p *placement, s string) { p.DataCentre = s }),
-	"tier":        choice(func(p *placement, t transactor.Tier) { p.Tier = t }, transactor.OnDemand, transactor.Spot),
+	"tier":        choice(func(p *placement, t definer.Tier) { p.Tier = t }, definer.OnDemand, definer.Spot),
 	"min":         number(0, 100_000, func(p *placement, n int) { p.Min = n }),
 	"max":         number(0, 100_000, func(p *placement, n int) { p.Max = n }),
 	"cost":        number(0, maxCount, func(p *placement, n int) { p.Cost = n }),
@@ -198,7 +197,7 @@
 }
 
 func defaultPlacement(string) placement {
-	return placement{Placement: definer.Placement{Tier: transactor.OnDemand}}
+	return placement{Placement: definer.Placement{Tier: definer.OnDemand}}
 }
 
 func defaultRoute(name string) definer.Route {
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 )
 
 // Role is the phase of work that an engine does.
@@ -61,7 +61,7 @@
 	Address    string
 	DataCentre string
 	Deployment string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	// Leaving says that the platform's list marks the VM as leaving, or that
 	// the list no longer has it.
 	Leaving bool
--- a/internal/decision/planner/bench_test.go
+++ b/internal/decision/planner/bench_test.go
@@ -6,7 +6,6 @@
 
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/planner"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // BenchmarkPlan measures one plan of one deployment by its number of workers.
@@ -17,12 +16,12 @@
 			for i := range size.dataCentres {
 				dc := fmt.Sprintf("dc-%d", i)
 				s.Deployment.Placements = append(s.Deployment.Placements,
-					definer.Placement{DataCentre: dc, Tier: transactor.OnDemand, Max: size.workers, Cost: 1000},
-					definer.Placement{DataCentre: dc, Tier: transactor.Spot, Max: size.workers / size.dataCentres, Cost: 400})
+					definer.Placement{DataCentre: dc, Tier: definer.OnDemand, Max: size.workers, Cost: 1000},
+					definer.Placement{DataCentre: dc, Tier: definer.Spot, Max: size.workers / size.dataCentres, Cost: 400})
 			}
 			for i := range size.workers {
 				s.Endpoints = append(s.Endpoints, planner.Endpoint{
-					ID: fmt.Sprint(i), DataCentre: fmt.Sprintf("dc-%d", i%size.dataCentres), Tier: transactor.Spot,
+					ID: fmt.Sprint(i), DataCentre: fmt.Sprintf("dc-%d", i%size.dataCentres), Tier: definer.Spot,
 				})
 			}
 			b.ReportAllocs()
--- a/internal/decision/planner/planner.go
+++ b/internal/decision/planner/planner.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/config/definer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Policy decides on the fleet.
@@ -126,7 +125,7 @@
 				t.blocked = true
 			}
 		}
-		if p.ExpensiveOnly && pl.Tier == transactor.Spot {
+		if p.ExpensiveOnly && pl.Tier == definer.Spot {
 			t.Min, t.Max = 0, 0
 		}
 		slots = append(slots, t)
@@ -143,7 +142,7 @@
 	best, bestCost, bestShort := make([]int, len(slots)), math.MaxInt, math.MaxInt
 	limit := 0
 	for _, t := range slots {
-		if t.Tier == transactor.Spot {
+		if t.Tier == definer.Spot {
 			limit = max(limit, t.cap())
 		}
 	}
@@ -177,7 +176,7 @@
 		}
 		slots[i].target++
 		total++
-		if slots[i].Tier == transactor.Spot {
+		if slots[i].Tier == definer.Spot {
 			worst = max(worst, slots[i].target)
 		}
 	}
@@ -190,7 +189,7 @@
 func next(slots []slot, k int) int {
 	best := -1
 	for i, t := range slots {
-		if t.target >= t.cap() || t.Tier == transactor.Spot && t.target >= k {
+		if t.target >= t.cap() || t.Tier == definer.Spot && t.target >= k {
 			continue
 		}
 		if best < 0 || before(t, slots[best]) {
@@ -201,8 +200,8 @@
 }
 
 func before(a, b slot) bool {
-	if (a.Tier == transactor.Spot) != (b.Tier == transactor.Spot) {
-		return a.Tier == transactor.Spot
+	if (a.Tier == definer.Spot) != (b.Tier == definer.Spot) {
+		return a.Tier == definer.Spot
 	}
 	if a.Cost != b.Cost {
 		return a.Cost < b.Cost
@@ -223,7 +222,7 @@
 func sums(slots []slot) (total, worst int) {
 	for _, t := range slots {
 		total += t.target
-		if t.Tier == transactor.Spot {
+		if t.Tier == definer.Spot {
 			worst = max(worst, t.target)
 		}
 	}
--- a/internal/decision/planner/planner_test.go
+++ b/internal/decision/planner/planner_test.go
@@ -10,7 +10,6 @@
 
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/planner"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // TestScripts guards against a fleet that the loss of one data centre's cheap
@@ -30,7 +29,7 @@
 				s.Deployment.Placements = nil
 				lines(t, td, func(dc, tier string, f []int) {
 					s.Deployment.Placements = append(s.Deployment.Placements, definer.Placement{
-						DataCentre: dc, Tier: transactor.Tier(tier), Min: f[0], Max: f[1], Cost: f[2],
+						DataCentre: dc, Tier: definer.Tier(tier), Min: f[0], Max: f[1], Cost: f[2],
 					})
 				})
 			case "fleet":
@@ -38,19 +37,19 @@
 				lines(t, td, func(dc, tier string, f []int) {
 					for i := range f[0] {
 						s.Endpoints = append(s.Endpoints, planner.Endpoint{
-							ID: fmt.Sprintf("%s-%s-%d", dc, tier, i+1), DataCentre: dc, Tier: transactor.Tier(tier), InFlight: 10 - i,
+							ID: fmt.Sprintf("%s-%s-%d", dc, tier, i+1), DataCentre: dc, Tier: definer.Tier(tier), InFlight: 10 - i,
 						})
 					}
 				})
 			case "pending":
 				s.Pending = nil
 				lines(t, td, func(dc, tier string, f []int) {
-					s.Pending = append(s.Pending, planner.Pending{DataCentre: dc, Tier: transactor.Tier(tier), Missing: f[0], Since: minutes("age")})
+					s.Pending = append(s.Pending, planner.Pending{DataCentre: dc, Tier: definer.Tier(tier), Missing: f[0], Since: minutes("age")})
 				})
 			case "withdrawn":
 				s.Withdrawn = nil
 				lines(t, td, func(dc, tier string, _ []int) {
-					s.Withdrawn = append(s.Withdrawn, planner.Withdrawn{DataCentre: dc, Tier: transactor.Tier(tier), At: minutes("age")})
+					s.Withdrawn = append(s.Withdrawn, planner.Withdrawn{DataCentre: dc, Tier: definer.Tier(tier), At: minutes("age")})
 				})
 			case "plan":
 				wait := 0
--- a/internal/decision/planner/state.go
+++ b/internal/decision/planner/state.go
@@ -11,14 +11,13 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/config/definer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Endpoint is what the planner knows of one endpoint.
 type Endpoint struct {
 	ID         string
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	// Leaving says that the platform takes it back or it was given back.
 	Leaving  bool
 	InFlight int
@@ -28,7 +27,7 @@
 type Pending struct {
 	ID         string
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	// Missing is the number of endpoints that have not arrived.
 	Missing int
 	Since   time.Time
@@ -37,7 +36,7 @@
 // Withdrawn is a data centre of which the platform has taken a tier back.
 type Withdrawn struct {
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	At         time.Time
 }
 
@@ -60,7 +59,7 @@
 // Order asks for endpoints or gives some back, in one data centre and tier.
 type Order struct {
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	// Add is the number wanted in addition; 0 if Withdraw is set.
 	Add int
 	// Withdraw names endpoints to drain and give back.
@@ -71,7 +70,7 @@
 // Target is the number of endpoints wanted in one data centre and tier.
 type Target struct {
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	Count      int
 }
 
--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -22,7 +22,6 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/decision/planner"
 	"foxtailflow.example/foxtailflow/internal/fleet/orderer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Demands tells the demand of a deployment on all nodes.
@@ -281,7 +280,7 @@
 func (m memory) withSpot(endpoints []picker.Endpoint, now time.Time) memory {
 	var spot []picker.Endpoint
 	for _, e := range endpoints {
-		if e.Tier == transactor.Spot && !e.Leaving && !e.Report.Leaving {
+		if e.Tier == definer.Spot && !e.Leaving && !e.Report.Leaving {
 			spot = append(spot, e)
 		}
 	}
@@ -296,7 +295,7 @@
 	m.withdrawn = slices.Clone(m.withdrawn)
 	for dc, n := range lost {
 		if n > 1 && float64(n) >= withdrawnShare*float64(had[dc]) {
-			m.withdrawn = append(m.withdrawn, planner.Withdrawn{DataCentre: dc, Tier: transactor.Spot, At: now})
+			m.withdrawn = append(m.withdrawn, planner.Withdrawn{DataCentre: dc, Tier: definer.Spot, At: now})
 		}
 	}
 	m.withdrawn = slices.DeleteFunc(m.withdrawn, func(w planner.Withdrawn) bool { return now.Sub(w.At) > withdrawnKept })
--- a/internal/fleet/adviser/adviser_test.go
+++ b/internal/fleet/adviser/adviser_test.go
@@ -18,7 +18,6 @@
 	"foxtailflow.example/foxtailflow/internal/decision/planner"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/orderer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 type demand struct{ prefill, decode float64 }
@@ -45,9 +44,9 @@
 	w.d = definer.Deployment{
 		Name: "m", Kind: definer.Model, Slots: 16, PrefillRate: 8000, DecodeRate: 1500, RoleChange: 5 * time.Second, MaxAway: 1,
 		Placements: []definer.Placement{
-			{DataCentre: "dc-1", Tier: transactor.OnDemand, Min: 1, Max: 20, Cost: 4},
-			{DataCentre: "dc-1", Tier: transactor.Spot, Max: 20, Cost: 1},
-			{DataCentre: "dc-2", Tier: transactor.Spot, Max: 20, Cost: 1},
+			{DataCentre: "dc-1", Tier: definer.OnDemand, Min: 1, Max: 20, Cost: 4},
+			{DataCentre: "dc-1", Tier: definer.Spot, Max: 20, Cost: 1},
+			{DataCentre: "dc-2", Tier: definer.Spot, Max: 20, Cost: 1},
 		},
 	}
 	return w
@@ -91,7 +90,7 @@
 		for line := range strings.Lines(td.Input) {
 			f := strings.Fields(line)
 			w.engines = append(w.engines, orderer.Engine{
-				Endpoint: picker.Endpoint{ID: f[0], DataCentre: f[1], Tier: transactor.Tier(f[2]), Deployment: "m"},
+				Endpoint: picker.Endpoint{ID: f[0], DataCentre: f[1], Tier: definer.Tier(f[2]), Deployment: "m"},
 				State:    speaker.State{Role: f[3], Phase: phaseServing},
 			})
 		}
--- a/internal/fleet/drainer/drainer_test.go
+++ b/internal/fleet/drainer/drainer_test.go
@@ -13,7 +13,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/drainer"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 var ctx = context.Background()
--- a/internal/fleet/observer/bench_test.go
+++ b/internal/fleet/observer/bench_test.go
@@ -12,7 +12,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 // BenchmarkTable measures the endpoint table by the number of workers: the two
@@ -62,8 +62,8 @@
 	w := &world{loads: make(map[string]speaker.Load)}
 	for i := range workers {
 		id := fmt.Sprintf("engine-%d", i)
-		w.vms = append(w.vms, transactor.VM{
-			ID: id, Address: id, DataCentre: fmt.Sprintf("dc-%d", i%24), Deployment: fmt.Sprintf("m-%d", i%13), State: transactor.Live,
+		w.vms = append(w.vms, supplier.VM{
+			ID: id, Address: id, DataCentre: fmt.Sprintf("dc-%d", i%24), Deployment: fmt.Sprintf("m-%d", i%13), State: supplier.Live,
 		})
 		w.loads[id] = speaker.Load{InFlight: i % 7, Role: "both"}
 	}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -21,14 +21,14 @@
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 // Observer keeps the table of endpoints.
 type Observer struct {
 	Clock timekeeper.Clock
 	Log   zerolog.Logger
-	VMs   transactor.VMs
+	VMs   supplier.VMs
 	// Engines asks endpoints for their load.
 	Engines speaker.Client
 	// ReportLag is the age that load reports are taken to have.
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -19,17 +19,17 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 // world is the platform's list and the engines' reports.
 type world struct {
-	vms   []transactor.VM
+	vms   []supplier.VM
 	age   time.Duration
 	loads map[string]speaker.Load
 }
 
-func (w *world) List(context.Context) ([]transactor.VM, time.Duration, error) {
+func (w *world) List(context.Context) ([]supplier.VM, time.Duration, error) {
 	return w.vms, w.age, nil
 }
 
@@ -127,12 +127,12 @@
 }
 
 // parseVMs reads lines "ID [leaving]".
-func parseVMs(input string) (vms []transactor.VM) {
+func parseVMs(input string) (vms []supplier.VM) {
 	for line := range strings.Lines(input) {
 		f := strings.Fields(line)
-		vm := transactor.VM{ID: f[0], Address: f[0], DataCentre: "dc-1", Deployment: "d", State: transactor.Live}
+		vm := supplier.VM{ID: f[0], Address: f[0], DataCentre: "dc-1", Deployment: "d", State: supplier.Live}
 		if len(f) > 1 {
-			vm.State = transactor.Leaving
+			vm.State = supplier.Leaving
 		}
 		vms = append(vms, vm)
 	}
--- a/internal/fleet/observer/old_list_test.go
+++ b/internal/fleet/observer/old_list_test.go
@@ -16,8 +16,8 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // silent answers for every endpoint but one.
@@ -39,9 +39,9 @@
 	ctx := context.Background()
 	clock := timekeeper.NewFake(time.Unix(1000, 0))
 	m := &provider.Memory{Clock: clock}
-	m.SetVMs([]transactor.VM{
-		{ID: "e1", Address: "e1", Deployment: "d", State: transactor.Live},
-		{ID: "e2", Address: "e2", Deployment: "d", State: transactor.Live},
+	m.SetVMs([]supplier.VM{
+		{ID: "e1", Address: "e1", Deployment: "d", State: supplier.Live},
+		{ID: "e2", Address: "e2", Deployment: "d", State: supplier.Live},
 	})
 	o := &observer.Observer{Clock: clock, Log: zerolog.Nop(), VMs: m, Engines: speaker.Client{Transport: silent("e2")}}
 	chosen := func() map[string]bool {
--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -8,7 +8,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 const (
@@ -57,10 +57,10 @@
 func (o *Observer) Listed() bool { return !o.list.Get().made.IsZero() }
 
 // withVM returns an endpoint with what the list says of it.
-func withVM(e picker.Endpoint, v transactor.VM) picker.Endpoint {
+func withVM(e picker.Endpoint, v supplier.VM) picker.Endpoint {
 	e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
 	e.Deployment, e.Tier = v.Deployment, v.Tier
-	return e.WithLeaving(v.State == transactor.Leaving)
+	return e.WithLeaving(v.State == supplier.Leaving)
 }
 
 // list is the platform's list as far as it is kept beside the rows; it is an
@@ -74,7 +74,7 @@
 }
 
 // with returns the list with new entries.
-func (l list) with(made time.Time, vms []transactor.VM) list {
+func (l list) with(made time.Time, vms []supplier.VM) list {
 	if made.After(l.made) {
 		l.made = made
 	}
--- a/internal/fleet/orderer/engines.go
+++ b/internal/fleet/orderer/engines.go
@@ -10,7 +10,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // looked is what one look at an endpoint showed.
--- a/internal/fleet/orderer/fleet.go
+++ b/internal/fleet/orderer/fleet.go
@@ -9,7 +9,8 @@
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // arrivalWait is how long endpoints that were ordered may take to arrive
@@ -177,7 +178,7 @@
 // fleetPlan is the next platform order, if ok, and the endpoints that are
 // given back sooner or later and get no new work.
 type fleetPlan struct {
-	order    transactor.EndpointOrder
+	order    supplier.EndpointOrder
 	expect   int
 	ok       bool
 	reserved []string
@@ -198,7 +199,7 @@
 			return
 		}
 		plan.ok, plan.expect = true, expect
-		plan.order = transactor.EndpointOrder{DataCentre: c.DataCentre, Tier: c.Tier, Add: add, Withdraw: withdraw}
+		plan.order = supplier.EndpointOrder{DataCentre: c.DataCentre, Tier: c.Tier, Add: add, Withdraw: withdraw}
 	}
 	for _, l := range looks {
 		e := l.endpoint
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -27,7 +27,8 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Every is the delay between two looks at a deployment.
@@ -95,7 +96,7 @@
 	Policy    Policy
 	// Engines and Fleet return clients that send under a grant.
 	Engines func(leaser.Grant) Engines
-	Fleet   func(leaser.Grant) transactor.Fleet
+	Fleet   func(leaser.Grant) supplier.Fleet
 	// PlatformLimit is how long the platform keeps a connection open on which
 	// no whole order arrives.
 	PlatformLimit time.Duration
--- a/internal/fleet/orderer/policy.go
+++ b/internal/fleet/orderer/policy.go
@@ -4,7 +4,6 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Engine is an engine with its own account of its state.
@@ -24,7 +23,7 @@
 // Count is the number of endpoints wanted in one data centre and tier.
 type Count struct {
 	DataCentre string
-	Tier       transactor.Tier
+	Tier       definer.Tier
 	Want       int
 }
 
@@ -66,7 +65,7 @@
 }
 
 // in returns the endpoints of a data centre and tier that are not leaving.
-func in(endpoints []picker.Endpoint, dataCentre string, tier transactor.Tier) []picker.Endpoint {
+func in(endpoints []picker.Endpoint, dataCentre string, tier definer.Tier) []picker.Endpoint {
 	var found []picker.Endpoint
 	for _, e := range endpoints {
 		if e.DataCentre == dataCentre && e.Tier == tier && !e.Leaving && !e.Report.Leaving {
--- a/internal/fleet/orderer/record.go
+++ b/internal/fleet/orderer/record.go
@@ -7,8 +7,9 @@
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 // The prefixes of the rows that orders are recorded in.
@@ -139,7 +140,7 @@
 
 // fleetRecord is a row fleet-order/DEPLOYMENT/ID.
 type fleetRecord struct {
-	order transactor.EndpointOrder
+	order supplier.EndpointOrder
 	// expect is the number of endpoints once those ordered have arrived.
 	expect int
 	done   bool
@@ -184,7 +185,7 @@
 		case "kind":
 			var s string
 			s, err = d.Str()
-			f.order.Tier = transactor.Tier(s)
+			f.order.Tier = definer.Tier(s)
 		case "add":
 			f.order.Add, err = d.Int()
 		case "withdraw":
--- a/internal/fleet/orderer/world_test.go
+++ b/internal/fleet/orderer/world_test.go
@@ -23,9 +23,10 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/orderer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // world has three processes, one platform and one engine on one fake clock.
@@ -109,7 +110,7 @@
 		Drains:        w,
 		Policy:        w,
 		Engines:       func(g leaser.Grant) orderer.Engines { return speaker.Client{}.WithTransport(send.WithGrant(g)) },
-		Fleet:         func(leaser.Grant) transactor.Fleet { return w.memory },
+		Fleet:         func(leaser.Grant) supplier.Fleet { return w.memory },
 		PlatformLimit: limit,
 		NewID: func() string {
 			w.orders++
@@ -155,7 +156,7 @@
 }
 
 func (w *world) Of(string) []picker.Endpoint {
-	return []picker.Endpoint{{ID: "e1", Address: "e1", DataCentre: "dc-1", Tier: transactor.OnDemand}}
+	return []picker.Endpoint{{ID: "e1", Address: "e1", DataCentre: "dc-1", Tier: definer.OnDemand}}
 }
 
 func (w *world) Listed(string) []string { return slices.Sorted(maps.Keys(w.draining)) }
--- a/internal/front/encoder/refusal.go
+++ b/internal/front/encoder/refusal.go
@@ -77,9 +77,10 @@
 		return http.StatusForbidden
 	case coder.RateLimited, coder.ConcurrencyFull, coder.QueueFull, coder.WouldMissTime:
 		return http.StatusTooManyRequests
-	case coder.DeadlinePassed:
+	case coder.DeadlinePassed, coder.AnswerLate:
 		return http.StatusGatewayTimeout
-	case coder.EndpointUnreachable, coder.EndpointFailed, coder.AnswerCut, coder.AnswerCrossed, coder.EndpointRefused:
+	case coder.EndpointUnreachable, coder.EndpointFailed, coder.AnswerCut, coder.AnswerCrossed, coder.EndpointRefused,
+		coder.ConnectionLost, coder.EndpointReplaced:
 		return http.StatusBadGateway
 	case coder.ClaimInProgress, coder.ClaimOutcomeLost, coder.ClaimAnswerNotKept, coder.ConfigConflict:
 		return http.StatusConflict
--- a/internal/inner/messenger/codec.go
+++ b/internal/inner/messenger/codec.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // milliseconds rounds up, so that an age never arrives younger than it is.
@@ -153,7 +153,7 @@
 func decodeUsage(m *KeepUsageRequest) UsageCopy {
 	u := UsageCopy{Node: m.GetNode(), Sequence: m.GetSequence(), Sealed: m.GetSealed()}
 	for _, f := range m.GetFigures() {
-		u.Figures = append(u.Figures, transactor.Figures{
+		u.Figures = append(u.Figures, counter.Figures{
 			Account:      f.GetAccount(),
 			Model:        f.GetModel(),
 			Requests:     f.GetRequests(),
--- a/internal/inner/messenger/message.go
+++ b/internal/inner/messenger/message.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // Hash is the short name of a node in messages.
@@ -180,7 +180,7 @@
 type UsageCopy struct {
 	Node     string
 	Sequence uint64
-	Figures  []transactor.Figures
+	Figures  []counter.Figures
 	// Sealed is the last sequence that the node has sealed.
 	Sealed uint64
 }
--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -20,12 +20,13 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
 	"foxtailflow.example/foxtailflow/internal/node/assembler"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // Plan says what a world consists of.
@@ -118,7 +119,7 @@
 }
 
 func (w *World) startEndpoints() error {
-	var vms []transactor.VM
+	var vms []supplier.VM
 	for i := range w.plan.Engines {
 		e := generator.New(w.clock, w.plan.Engine)
 		address, err := w.serve(e.Server())
@@ -141,14 +142,14 @@
 	return nil
 }
 
-func (w *World) vm(id, address string, i int, deployment string) transactor.VM {
-	return transactor.VM{
+func (w *World) vm(id, address string, i int, deployment string) supplier.VM {
+	return supplier.VM{
 		ID:         id,
 		Address:    address,
 		DataCentre: w.plan.DataCentres[i%len(w.plan.DataCentres)],
 		Deployment: deployment,
-		Tier:       transactor.OnDemand,
-		State:      transactor.Live,
+		Tier:       definer.OnDemand,
+		State:      supplier.Live,
 	}
 }
 
--- a/internal/lab/measurer/control.go
+++ b/internal/lab/measurer/control.go
@@ -5,11 +5,11 @@
 	"math"
 	"time"
 
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/balancer"
 	"foxtailflow.example/foxtailflow/internal/decision/forecaster"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/decision/planner"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 const (
@@ -161,7 +161,7 @@
 }
 
 // addEngine adds an engine with the role of which there is less for the demand.
-func (r *run) addEngine(dataCentre string, tier transactor.Tier, arrives time.Duration) {
+func (r *run) addEngine(dataCentre string, tier definer.Tier, arrives time.Duration) {
 	r.control.next++
 	e := &engine{id: fmt.Sprintf("engine-%d", r.control.next), dataCentre: dataCentre, tier: tier, arrives: arrives, role: picker.Prefill}
 	if r.control.next%2 == 0 {
@@ -175,12 +175,12 @@
 func (r *run) withdraw() {
 	where := r.mix.dataCentres[1]
 	for _, e := range r.engines {
-		if e.dataCentre == where && e.tier == transactor.Spot && !e.gone {
+		if e.dataCentre == where && e.tier == definer.Spot && !e.gone {
 			r.lose(e)
 			e.gone = true
 		}
 	}
-	r.control.withdrawn = append(r.control.withdrawn, planner.Withdrawn{DataCentre: where, Tier: transactor.Spot, At: r.clock.Now()})
+	r.control.withdrawn = append(r.control.withdrawn, planner.Withdrawn{DataCentre: where, Tier: definer.Spot, At: r.clock.Now()})
 }
 
 // lose breaks the requests of an engine; their nodes try again.
--- a/internal/lab/measurer/engine.go
+++ b/internal/lab/measurer/engine.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // The model of an engine, as the defaults of a deployment have it.
@@ -29,7 +29,7 @@
 type engine struct {
 	id         string
 	dataCentre string
-	tier       transactor.Tier
+	tier       definer.Tier
 	role       picker.Role
 	arrives    time.Duration
 	crashed    bool
--- a/internal/lab/measurer/member.go
+++ b/internal/lab/measurer/member.go
@@ -19,7 +19,7 @@
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/member/gossiper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // members are nodes that have the parts for membership and configuration only.
--- a/internal/lab/measurer/run.go
+++ b/internal/lab/measurer/run.go
@@ -11,7 +11,6 @@
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
 )
@@ -88,9 +87,9 @@
 	r.deployment = definer.Deployment{Name: m.name, Kind: definer.Model, Slots: slotsEach, PrefillRate: prefillRate}
 	for _, dc := range m.dataCentres {
 		r.deployment.Placements = append(r.deployment.Placements,
-			definer.Placement{DataCentre: dc, Tier: transactor.OnDemand, Max: engines, Cost: expensive},
+			definer.Placement{DataCentre: dc, Tier: definer.OnDemand, Max: engines, Cost: expensive},
 			// The platform has few cheap endpoints in one data centre.
-			definer.Placement{DataCentre: dc, Tier: transactor.Spot, Max: engines / len(m.dataCentres), Cost: cheap})
+			definer.Placement{DataCentre: dc, Tier: definer.Spot, Max: engines / len(m.dataCentres), Cost: cheap})
 	}
 	defs := definer.Definitions{Deployments: []definer.Deployment{r.deployment}, Limits: definer.DefaultLimits()}
 	for _, c := range m.clients {
@@ -129,7 +128,7 @@
 }
 
 func price(e *engine) float64 {
-	if e.tier == transactor.Spot {
+	if e.tier == definer.Spot {
 		return cheap
 	}
 	return expensive
--- a/internal/lab/provider/faults.go
+++ b/internal/lab/provider/faults.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 )
 
 // Faults are the failures that the platform shows at present.
@@ -137,7 +137,7 @@
 }
 
 // unavailable reports whether the platform cannot deliver a tier at present.
-func (f Faults) unavailable(tier transactor.Tier, dataCentre string) bool {
+func (f Faults) unavailable(tier definer.Tier, dataCentre string) bool {
 	for _, u := range f.Unavailable {
 		t, dc, one := strings.Cut(u, "/")
 		if t == string(tier) && (!one || dc == dataCentre) {
--- a/internal/lab/provider/fleet.go
+++ b/internal/lab/provider/fleet.go
@@ -5,18 +5,19 @@
 	"slices"
 	"time"
 
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // SetVMs replaces the VM list; List shows the change after the lag.
-func (m *Memory) SetVMs(vms []transactor.VM) {
+func (m *Memory) SetVMs(vms []supplier.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.setVMsLocked(vms)
 }
 
 // setVMsLocked adds a listing and drops those that no List can show any more.
-func (m *Memory) setVMsLocked(vms []transactor.VM) {
+func (m *Memory) setVMsLocked(vms []supplier.VM) {
 	now := m.Clock.Now()
 	shown := 0
 	for i, l := range m.vms {
@@ -28,13 +29,13 @@
 }
 
 // VMsNow returns the VM list without its lag.
-func (m *Memory) VMsNow() []transactor.VM {
+func (m *Memory) VMsNow() []supplier.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return slices.Clone(m.vmsNowLocked())
 }
 
-func (m *Memory) vmsNowLocked() []transactor.VM {
+func (m *Memory) vmsNowLocked() []supplier.VM {
 	if len(m.vms) == 0 {
 		return nil
 	}
@@ -44,7 +45,7 @@
 // List returns the newest VM list that is at least as old as the lag.
 //
 // Before any list is that old, it returns the first one.
-func (m *Memory) List(ctx context.Context) ([]transactor.VM, time.Duration, error) {
+func (m *Memory) List(ctx context.Context) ([]supplier.VM, time.Duration, error) {
 	if err := m.admit(ctx, opList); err != nil {
 		return nil, 0, err
 	}
@@ -63,7 +64,7 @@
 }
 
 // Report takes a usage report and records its figures.
-func (m *Memory) Report(ctx context.Context, r transactor.UsageReport) error {
+func (m *Memory) Report(ctx context.Context, r counter.UsageReport) error {
 	if err := m.admit(ctx, opOrder); err != nil {
 		return err
 	}
@@ -73,7 +74,7 @@
 	return m.answer(ctx)
 }
 
-func (m *Memory) takeReport(r transactor.UsageReport) error {
+func (m *Memory) takeReport(r counter.UsageReport) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, f := range r.Figures {
@@ -84,17 +85,17 @@
 		m.note("different-figures id=%s", r.ID)
 	}
 	if m.reports == nil {
-		m.reports = make(map[string]transactor.UsageReport)
+		m.reports = make(map[string]counter.UsageReport)
 	}
 	m.reports[r.ID] = r
 	return nil
 }
 
 // Reports returns the usage reports received, in no order.
-func (m *Memory) Reports() []transactor.UsageReport {
+func (m *Memory) Reports() []counter.UsageReport {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reports := make([]transactor.UsageReport, 0, len(m.reports))
+	reports := make([]counter.UsageReport, 0, len(m.reports))
 	for _, r := range m.reports {
 		reports = append(reports, r)
 	}
--- a/internal/lab/provider/memory.go
+++ b/internal/lab/provider/memory.go
@@ -19,7 +19,9 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // Memory is a platform kept in memory.
@@ -42,15 +44,15 @@
 	// Notice is the time that a withdrawn VM stays listed as leaving.
 	Notice time.Duration
 	// Spares are VMs that orders can deliver; it must not be changed later.
-	Spares []transactor.VM
+	Spares []supplier.VM
 
 	mu      sync.Mutex
 	commits uint64
 	rows    map[string]transactor.Row
 	objects map[string][]byte
 	vms     []listing
-	orders  map[string]transactor.EndpointOrder
-	reports map[string]transactor.UsageReport
+	orders  map[string]supplier.EndpointOrder
+	reports map[string]counter.UsageReport
 	fencing map[string]uint64
 	faults  Faults
 	record  []string
@@ -65,11 +67,9 @@
 
 type listing struct {
 	at  time.Time
-	vms []transactor.VM
+	vms []supplier.VM
 }
 
-var _ transactor.Platform = (*Memory)(nil)
-
 // Counts returns how many reads and writes the table and object store served.
 func (m *Memory) Counts() (reads, writes int64) {
 	m.mu.Lock()
--- a/internal/lab/provider/orders.go
+++ b/internal/lab/provider/orders.go
@@ -7,14 +7,15 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
 // Order takes an order for endpoints, which takes effect after the delay.
 //
 // A repeated identifier has no second effect. PlatformRefused: the tier is not
 // available at present.
-func (m *Memory) Order(ctx context.Context, o transactor.EndpointOrder) error {
+func (m *Memory) Order(ctx context.Context, o supplier.EndpointOrder) error {
 	if err := m.admit(ctx, opOrder); err != nil {
 		return err
 	}
@@ -24,7 +25,7 @@
 	return m.answer(ctx)
 }
 
-func (m *Memory) takeOrder(o transactor.EndpointOrder) error {
+func (m *Memory) takeOrder(o supplier.EndpointOrder) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.note("order id=%s fencing-token=%d deployment=%s data-centre=%s tier=%s add=%d withdraw=%s",
@@ -43,7 +44,7 @@
 		return coder.Refuse(coder.PlatformRefused, "the tier %s is not available in %s", o.Tier, o.DataCentre)
 	}
 	if m.orders == nil {
-		m.orders = make(map[string]transactor.EndpointOrder)
+		m.orders = make(map[string]supplier.EndpointOrder)
 	}
 	m.orders[o.ID] = o
 	m.withdrawLocked(o.Withdraw)
@@ -55,7 +56,7 @@
 
 // sameOrder reports whether two orders ask for the same; the fencing token
 // rises when a new holder repeats an order.
-func sameOrder(a, b transactor.EndpointOrder) bool {
+func sameOrder(a, b supplier.EndpointOrder) bool {
 	return a.Deployment == b.Deployment && a.DataCentre == b.DataCentre && a.Tier == b.Tier &&
 		a.Add == b.Add && slices.Equal(a.Withdraw, b.Withdraw)
 }
@@ -75,16 +76,16 @@
 
 // deliverLocked lists ordered endpoints. They are taken from the spares, which
 // are stand-ins that run already: the platform starts no process.
-func (m *Memory) deliverLocked(o transactor.EndpointOrder) {
+func (m *Memory) deliverLocked(o supplier.EndpointOrder) {
 	vms := slices.Clone(m.vmsNowLocked())
 	delivered := 0
-	m.Spares = slices.DeleteFunc(m.Spares, func(v transactor.VM) bool {
+	m.Spares = slices.DeleteFunc(m.Spares, func(v supplier.VM) bool {
 		fits := v.Deployment == o.Deployment && v.DataCentre == o.DataCentre && v.Tier == o.Tier
 		if !fits || delivered == o.Add {
 			return false
 		}
 		delivered++
-		v.State = transactor.Live
+		v.State = supplier.Live
 		vms = append(vms, v)
 		return true
 	})
@@ -100,7 +101,7 @@
 	vms := slices.Clone(m.vmsNowLocked())
 	for i, v := range vms {
 		if slices.Contains(ids, v.ID) {
-			vms[i].State = transactor.Leaving
+			vms[i].State = supplier.Leaving
 		}
 	}
 	m.setVMsLocked(vms)
@@ -109,7 +110,7 @@
 
 // dropLocked takes VMs off the list; they are spares again.
 func (m *Memory) dropLocked(ids []string) {
-	var left []transactor.VM
+	var left []supplier.VM
 	for _, v := range m.vmsNowLocked() {
 		if slices.Contains(ids, v.ID) {
 			m.Spares = append(m.Spares, v)
@@ -123,12 +124,12 @@
 
 // Reclaim withdraws every VM of a tier in a data centre, as the platform does
 // with its cheaper tier, and returns how many they were.
-func (m *Memory) Reclaim(tier transactor.Tier, dataCentre string) int {
+func (m *Memory) Reclaim(tier definer.Tier, dataCentre string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
 	for _, v := range m.vmsNowLocked() {
-		if v.Tier == tier && v.DataCentre == dataCentre && v.State == transactor.Live {
+		if v.Tier == tier && v.DataCentre == dataCentre && v.State == supplier.Live {
 			ids = append(ids, v.ID)
 		}
 	}
@@ -165,10 +166,10 @@
 }
 
 // Orders returns the orders received, in no order.
-func (m *Memory) Orders() []transactor.EndpointOrder {
+func (m *Memory) Orders() []supplier.EndpointOrder {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var os []transactor.EndpointOrder
+	var os []supplier.EndpointOrder
 	for _, o := range m.orders {
 		os = append(os, o)
 	}
--- a/internal/lab/provider/server.go
+++ b/internal/lab/provider/server.go
@@ -12,8 +12,10 @@
 	"github.com/julienschmidt/httprouter"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // Server serves a Memory over HTTP.
@@ -147,7 +149,7 @@
 	if err != nil {
 		return
 	}
-	u, err := encoder.DecodeReport(data)
+	u, err := counter.DecodeReport(data)
 	if err != nil {
 		fail(w, err)
 		return
@@ -229,7 +231,7 @@
 // reclaim takes the query values tier and data-centre.
 func (s Server) reclaim(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	q := r.URL.Query()
-	n := s.Memory.Reclaim(transactor.Tier(q.Get("tier")), q.Get("data-centre"))
+	n := s.Memory.Reclaim(definer.Tier(q.Get("tier")), q.Get("data-centre"))
 	_, _ = fmt.Fprintf(w, "reclaimed=%d\n", n)
 }
 
--- a/internal/lab/starter/standins.go
+++ b/internal/lab/starter/standins.go
@@ -13,12 +13,12 @@
 	"github.com/spf13/cobra"
 
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/lab/configurer"
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // standIn builds the server of a stand-in from its settings.
@@ -106,7 +106,7 @@
 }
 
 // readVMs reads a list of VMs from a JSON file; no path means no VMs.
-func readVMs(path string) ([]transactor.VM, error) {
+func readVMs(path string) ([]supplier.VM, error) {
 	if path == "" {
 		return nil, nil
 	}
--- a/internal/member/gossiper/rows.go
+++ b/internal/member/gossiper/rows.go
@@ -12,7 +12,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 const (
--- a/internal/node/assembler/authority.go
+++ b/internal/node/assembler/authority.go
@@ -13,8 +13,8 @@
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/drainer"
 	"foxtailflow.example/foxtailflow/internal/fleet/orderer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/platform/connector"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
 // authority is what a node needs for its duties.
@@ -59,7 +59,7 @@
 		Drains:        n.drainer,
 		Policy:        orderer.Keep{},
 		Engines:       func(g leaser.Grant) orderer.Engines { return speaker.Client{}.WithTransport(n.fenced(g)) },
-		Fleet:         func(g leaser.Grant) transactor.Fleet { return n.fencedPlatform(g) },
+		Fleet:         func(g leaser.Grant) supplier.Fleet { return n.fencedPlatform(g) },
 		PlatformLimit: n.settings.PlatformLimit,
 	}
 	return nil
--- a/internal/node/assembler/requests.go
+++ b/internal/node/assembler/requests.go
@@ -12,7 +12,6 @@
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
@@ -82,7 +81,7 @@
 		Table:         n.platform,
 		Leases:        n.leaser,
 		PlatformLimit: n.settings.PlatformLimit,
-		Reports:       func(g leaser.Grant) transactor.Reports { return n.fencedPlatform(g) },
+		Reports:       func(g leaser.Grant) counter.Reports { return n.fencedPlatform(g) },
 		Groups:        n.usageGroups,
 		Window:        func() time.Duration { return n.limits().UsageWindow },
 	}
--- a/internal/platform/connector/client.go
+++ b/internal/platform/connector/client.go
@@ -19,8 +19,10 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // Client is the platform behind a base address such as "http://127.0.0.1:7000".
@@ -33,8 +35,6 @@
 	Timeout time.Duration
 }
 
-var _ transactor.Platform = Client{}
-
 // WithTransport returns a copy that sends through t.
 func (c Client) WithTransport(t http.RoundTripper) Client {
 	c.Transport = t
@@ -114,7 +114,7 @@
 }
 
 // List returns the VM list and its age.
-func (c Client) List(ctx context.Context) ([]transactor.VM, time.Duration, error) {
+func (c Client) List(ctx context.Context) ([]supplier.VM, time.Duration, error) {
 	data, header, err := c.call(ctx, http.MethodGet, "/vms", nil)
 	if err != nil {
 		return nil, 0, readFailure(err)
@@ -125,7 +125,7 @@
 }
 
 // Order places an order for endpoints.
-func (c Client) Order(ctx context.Context, o transactor.EndpointOrder) error {
+func (c Client) Order(ctx context.Context, o supplier.EndpointOrder) error {
 	_, err := c.write(ctx, http.MethodPost, "/endpoints/orders", encoder.EncodeOrder(o))
 	return err
 }
@@ -136,8 +136,8 @@
 }
 
 // Report sends a closed window.
-func (c Client) Report(ctx context.Context, r transactor.UsageReport) error {
-	_, err := c.write(ctx, http.MethodPost, "/usage/reports", encoder.EncodeReport(r))
+func (c Client) Report(ctx context.Context, r counter.UsageReport) error {
+	_, err := c.write(ctx, http.MethodPost, "/usage/reports", counter.EncodeReport(r))
 	return err
 }
 
--- a/internal/platform/encoder/table.go
+++ b/internal/platform/encoder/table.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // EncodeTx encodes a transaction.
--- a/internal/request/claimer/batch.go
+++ b/internal/request/claimer/batch.go
@@ -10,7 +10,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 const (
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -20,7 +20,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Claimer takes and ends the claims of one node; make it with New.
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -18,8 +18,8 @@
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/seeder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // start runs a claimer until the test ends.
--- a/internal/request/claimer/settle.go
+++ b/internal/request/claimer/settle.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // unsettled is a row of this node that is not yet what it should be.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -19,12 +19,12 @@
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
 	"foxtailflow.example/foxtailflow/internal/request/retrier"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // Configs tells the configuration in force.
@@ -73,7 +73,7 @@
 // Usage counts what answers have used.
 type Usage interface {
 	// Count adds the figures of one answer.
-	Count(f transactor.Figures)
+	Count(f counter.Figures)
 }
 
 // Engines tells engines what a request no longer needs.
@@ -175,7 +175,7 @@
 // or one by which a plain service refused. A caller that left is billed if the
 // engine had already given its figures.
 func (d *Dispatcher) count(r carrier.Request, result carrier.Result) {
-	f := transactor.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
+	f := counter.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
 	switch {
 	case result.Replayed:
 		return
--- a/internal/request/dispatcher/session_test.go
+++ b/internal/request/dispatcher/session_test.go
@@ -22,7 +22,6 @@
 	"foxtailflow.example/foxtailflow/internal/lab/generator"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 	"foxtailflow.example/foxtailflow/internal/usage/counter"
 	"foxtailflow.example/foxtailflow/internal/usage/sealer"
 )
@@ -136,7 +135,7 @@
 	s.world.Stop()
 	rows, err := s.world.Platform.Scan(context.Background(), "usage/segment/", "", 0)
 	s.is.NoErr(err)
-	var parts [][]transactor.Figures
+	var parts [][]counter.Figures
 	for _, row := range rows {
 		figures, err := sealer.DecodeFigures(row.Value)
 		s.is.NoErr(err)
--- a/internal/usage/counter/counter.go
+++ b/internal/usage/counter/counter.go
@@ -11,16 +11,23 @@
 	"expvar"
 	"slices"
 	"sync"
-
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
 )
 
+// Figures are the billed quantities of one client account and model.
+type Figures struct {
+	Account      string
+	Model        string
+	Requests     int64
+	PromptTokens int64
+	OutputTokens int64
+}
+
 // Piece is a part of a node's usage.
 //
 // It is an immutable value; the With methods return changed copies.
 type Piece struct {
 	Sequence uint64
-	Figures  []transactor.Figures
+	Figures  []Figures
 	// Keeper is the peer that has a copy, empty if none has.
 	Keeper string
 }
@@ -48,7 +55,7 @@
 // map copied with each request would cost more than all else at a node.
 type Counter struct {
 	mu     sync.Mutex
-	open   map[subject]transactor.Figures
+	open   map[subject]Figures
 	last   uint64
 	pieces []Piece
 }
@@ -56,18 +63,18 @@
 type subject struct{ account, model string }
 
 // Count adds figures.
-func (c *Counter) Count(f transactor.Figures) {
+func (c *Counter) Count(f Figures) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
-		c.open = make(map[subject]transactor.Figures)
+		c.open = make(map[subject]Figures)
 	}
 	k := subject{account: f.Account, model: f.Model}
 	c.open[k] = add(f, c.open[k])
 	uncopied.Add(f.Requests)
 }
 
-func add(f, g transactor.Figures) transactor.Figures {
+func add(f, g Figures) Figures {
 	f.Requests += g.Requests
 	f.PromptTokens += g.PromptTokens
 	f.OutputTokens += g.OutputTokens
@@ -81,7 +88,7 @@
 	if len(c.open) == 0 {
 		return
 	}
-	figures := make([]transactor.Figures, 0, len(c.open))
+	figures := make([]Figures, 0, len(c.open))
 	for _, f := range c.open {
 		figures = append(figures, f)
 	}
@@ -124,23 +131,23 @@
 }
 
 // Sum adds figures up by client account and model, in their order.
-func Sum(parts ...[]transactor.Figures) []transactor.Figures {
-	sums := make(map[subject]transactor.Figures)
+func Sum(parts ...[]Figures) []Figures {
+	sums := make(map[subject]Figures)
 	for _, part := range parts {
 		for _, f := range part {
 			k := subject{account: f.Account, model: f.Model}
 			sums[k] = add(f, sums[k])
 		}
 	}
-	all := make([]transactor.Figures, 0, len(sums))
+	all := make([]Figures, 0, len(sums))
 	for _, f := range sums {
 		all = append(all, f)
 	}
 	return sorted(all)
 }
 
-func sorted(figures []transactor.Figures) []transactor.Figures {
-	slices.SortFunc(figures, func(a, b transactor.Figures) int {
+func sorted(figures []Figures) []Figures {
+	slices.SortFunc(figures, func(a, b Figures) int {
 		if n := cmp.Compare(a.Account, b.Account); n != 0 {
 			return n
 		}
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -19,7 +19,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 	"foxtailflow.example/foxtailflow/internal/usage/counter"
 	"foxtailflow.example/foxtailflow/internal/usage/sealer"
 )
@@ -32,7 +32,7 @@
 	Leases leaser.Holder
 	// Reports returns the receiver of reports for calls that are fenced by the
 	// grant: checked after the dial, written once, never sent again.
-	Reports func(g leaser.Grant) transactor.Reports
+	Reports func(g leaser.Grant) counter.Reports
 	// Groups returns the number of groups, Window the length of a window.
 	Groups func() int
 	Window func() time.Duration
@@ -146,7 +146,7 @@
 		return false, err
 	}
 	tx := g.Guard(transactor.Tx{})
-	var parts [][]transactor.Figures
+	var parts [][]counter.Figures
 	for _, row := range rows {
 		figures, err := sealer.DecodeFigures(row.Value)
 		if err != nil {
@@ -251,5 +251,5 @@
 	}
 	s.sent = sequence
 	r.states.Put(group, s)
-	return reports.Report(ctx, transactor.UsageReport{ID: id, FencingToken: g.Token, Figures: w.figures})
+	return reports.Report(ctx, counter.UsageReport{ID: id, FencingToken: g.Token, Figures: w.figures})
 }
--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -18,8 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/seeder"
-	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 	"foxtailflow.example/foxtailflow/internal/usage/counter"
 	"foxtailflow.example/foxtailflow/internal/usage/reporter"
 	"foxtailflow.example/foxtailflow/internal/usage/sealer"
@@ -108,8 +107,8 @@
 }
 
 // Report loses some reports and some answers.
-func (w *world) Report(ctx context.Context, r transactor.UsageReport) error {
-	if len(encoder.EncodeReport(r)) > 15<<10 {
+func (w *world) Report(ctx context.Context, r counter.UsageReport) error {
+	if len(counter.EncodeReport(r)) > 15<<10 {
 		return coder.Refuse(coder.BodyTooLarge, "the report is too large")
 	}
 	if !w.calm && w.r.IntN(4) == 0 {
@@ -170,7 +169,7 @@
 	}
 	o.reporter = &reporter.Reporter{
 		Clock: w.clock, Log: zerolog.Nop(), Table: w, Leases: o,
-		Reports: func(leaser.Grant) transactor.Reports { return w },
+		Reports: func(leaser.Grant) counter.Reports { return w },
 		Groups:  func() int { return groups },
 		Window:  func() time.Duration { return 10 * time.Second },
 	}
@@ -178,7 +177,7 @@
 }
 
 func (w *world) count(n *node) {
-	n.copies.Counter.Count(transactor.Figures{
+	n.copies.Counter.Count(counter.Figures{
 		Account: fmt.Sprintf("account-%d", w.r.IntN(w.accounts)), Model: "m", Requests: 1, PromptTokens: 10, OutputTokens: w.r.Int64N(50),
 	})
 	w.sums.Counted++
@@ -280,12 +279,12 @@
 
 // compare checks the reports received against what was counted.
 func (w *world) compare(is *is.I) {
-	figures := make(map[string]transactor.Figures)
+	figures := make(map[string]counter.Figures)
 	for _, line := range w.m.Record() {
 		is.True(!strings.HasPrefix(line, "different-figures")) // a window has two sets of figures
 		var id string
 		var token uint64
-		var f transactor.Figures
+		var f counter.Figures
 		if n, _ := fmt.Sscanf(line, "report id=%s fencing-token=%d client-account=%s model=%s requests=%d", &id, &token, &f.Account, &f.Model, &f.Requests); n == 5 {
 			figures[id+"/"+f.Account] = f
 			w.sums.Reports++
--- a/internal/usage/reporter/rows.go
+++ b/internal/usage/reporter/rows.go
@@ -8,8 +8,7 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // head is the row usage/head/GROUP: how far the windows of a group have come.
@@ -26,7 +25,7 @@
 
 // window is the row usage/window/GROUP/SEQ.
 type window struct {
-	figures []transactor.Figures
+	figures []counter.Figures
 	at      time.Time
 }
 
@@ -77,7 +76,7 @@
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("at-ms", func(e *jx.Encoder) { e.Int64(w.at.UnixMilli()) })
-		e.Field("figures", func(e *jx.Encoder) { encoder.EncodeFigures(e, w.figures) })
+		e.Field("figures", func(e *jx.Encoder) { counter.EncodeFigures(e, w.figures) })
 	})
 	return e.Bytes()
 }
@@ -88,7 +87,7 @@
 		case "at-ms":
 			w.at, err = decodeTime(d)
 		case "figures":
-			w.figures, err = encoder.DecodeFigures(d)
+			w.figures, err = counter.DecodeFigures(d)
 		default:
 			err = d.Skip()
 		}
--- a/internal/usage/reporter/takeover_test.go
+++ b/internal/usage/reporter/takeover_test.go
@@ -12,7 +12,8 @@
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 	"foxtailflow.example/foxtailflow/internal/usage/reporter"
 	"foxtailflow.example/foxtailflow/internal/usage/sealer"
 )
@@ -25,7 +26,7 @@
 	o := &owner{grants: make(map[string]leaser.Grant)}
 	r := &reporter.Reporter{
 		Clock: clock, Log: zerolog.Nop(), Table: m, Leases: o,
-		Reports:       func(leaser.Grant) transactor.Reports { return m },
+		Reports:       func(leaser.Grant) counter.Reports { return m },
 		Groups:        func() int { return 1 },
 		Window:        func() time.Duration { return time.Second },
 		PlatformLimit: 5 * time.Second,
@@ -42,7 +43,7 @@
 			g.Epoch = version
 			o.grants[g.Duty] = g
 		case "seal":
-			figures := []transactor.Figures{{Account: "baden", Model: "m", Requests: 3}}
+			figures := []counter.Figures{{Account: "baden", Model: "m", Requests: 3}}
 			tx := transactor.Tx{}.WithPut(sealer.SegmentPrefix(0)+td.CmdArgs[0].Key, sealer.EncodeFigures(figures))
 			if _, err := m.Commit(context.Background(), tx); err != nil {
 				t.Fatal(err)
--- a/internal/usage/sealer/codec.go
+++ b/internal/usage/sealer/codec.go
@@ -6,20 +6,19 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/platform/encoder"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
 // EncodeFigures encodes the content of a segment row.
-func EncodeFigures(figures []transactor.Figures) []byte {
+func EncodeFigures(figures []counter.Figures) []byte {
 	var e jx.Encoder
-	encoder.EncodeFigures(&e, figures)
+	counter.EncodeFigures(&e, figures)
 	return e.Bytes()
 }
 
 // DecodeFigures decodes the content of a segment row.
-func DecodeFigures(data []byte) ([]transactor.Figures, error) {
-	figures, err := encoder.DecodeFigures(jx.DecodeBytes(data))
+func DecodeFigures(data []byte) ([]counter.Figures, error) {
+	figures, err := counter.DecodeFigures(jx.DecodeBytes(data))
 	return figures, malformed(err)
 }
 
--- a/internal/usage/sealer/sealer.go
+++ b/internal/usage/sealer/sealer.go
@@ -18,7 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/platform/transactor"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 	"foxtailflow.example/foxtailflow/internal/usage/counter"
 )
 
@@ -150,7 +150,7 @@
 
 func (s *Sealer) transaction(node string, before, next mark, due []counter.Piece) transactor.Tx {
 	groups := s.Groups()
-	byGroup := make(map[int][]transactor.Figures)
+	byGroup := make(map[int][]counter.Figures)
 	for _, p := range due {
 		for _, f := range p.Figures {
 			g := Group(f.Account, groups)
