--- a/cmd/foxtailflow/main.go
+++ b/cmd/foxtailflow/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"foxtailflow.example/foxtailflow/internal/command/starter"
+	"foxtailflow.example/foxtailflow/platform"
 )
 
 func main() {
-	os.Exit(starter.Main())
+	os.Exit(starter.Main(platform.Command()))
 }
--- a/internal/base/linker/exchange.go
+++ b/internal/base/linker/exchange.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -23,6 +25,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Stream yields the body once in place of Body; Length is its number of
+	// bytes, or -1 where that is not known.
+	Stream io.Reader
+	Length int64
 }
 
 // Options bound one exchange.
@@ -74,6 +80,9 @@
 	a, err := x.run(m, head, o)
 	if err != nil {
 		x.end(false)
+		if broke := x.broke.Load(); broke != nil {
+			err = *broke
+		}
 		return nil, failure(ctx, address, c.used, err)
 	}
 	return a, nil
@@ -104,8 +113,10 @@
 	link   *link
 	stop   func() bool
 	// writing is the sending of a long body beside the reading of the answer.
-	writing  *conc.WaitGroup
-	wrote    chan error
+	writing *conc.WaitGroup
+	wrote   chan error
+	// broke is why the body failed on its way.
+	broke    atomic.Pointer[error]
 	keepFor  time.Duration
 	reusable bool
 	ended    bool
@@ -117,7 +128,7 @@
 const inlineBody = 8 << 10
 
 func (x *exchange) run(m Message, head []byte, o Options) (*Answer, error) {
-	if err := x.write(append(head, m.Body...), len(m.Body) > inlineBody); err != nil {
+	if err := x.write(m, append(head, m.Body...)); err != nil {
 		// The server may have answered and closed before it has read all.
 		if a, rerr := x.read(m.Method, o); rerr == nil {
 			x.reusable = false
@@ -128,19 +139,52 @@
 	return x.read(m.Method, o)
 }
 
-func (x *exchange) write(data []byte, beside bool) error {
-	if !beside {
+func (x *exchange) write(m Message, data []byte) error {
+	if len(m.Body) <= inlineBody && m.Stream == nil {
 		_, err := x.link.conn.Write(data)
 		return err
 	}
 	x.writing, x.wrote = &conc.WaitGroup{}, make(chan error, 1)
 	x.writing.Go(func() {
 		_, err := x.link.conn.Write(data)
+		if err == nil && m.Stream != nil {
+			err = x.writeStream(m)
+		}
 		x.wrote <- err
 	})
 	return nil
 }
 
+// writeStream sends a body as it comes. A body that fails on its way breaks the
+// connection, as the server must not take it for whole.
+func (x *exchange) writeStream(m Message) error {
+	if m.Length >= 0 {
+		n, err := io.Copy(x.link.conn, io.LimitReader(m.Stream, m.Length))
+		if err == nil && n < m.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return x.breakOff(err)
+	}
+	w := httputil.NewChunkedWriter(x.link.conn)
+	if _, err := io.Copy(w, m.Stream); err != nil {
+		return x.breakOff(err)
+	}
+	if err := w.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(x.link.conn, "\r\n")
+	return err
+}
+
+// breakOff closes the connection if the body failed.
+func (x *exchange) breakOff(err error) error {
+	if err != nil {
+		x.broke.Store(&err)
+		_ = x.link.conn.Close()
+	}
+	return err
+}
+
 // sent reports whether the whole request has left.
 func (x *exchange) sent() bool {
 	if x.wrote == nil {
@@ -293,9 +337,16 @@
 			b = append(b, name+": "+v+"\r\n"...)
 		}
 	}
-	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut {
+	length := int64(len(m.Body))
+	if m.Stream != nil {
+		length = m.Length
+	}
+	switch {
+	case length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case length > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut:
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		b = strconv.AppendInt(b, length, 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...), nil
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -38,16 +38,18 @@
 // codesInHundred is the size of each group of result codes.
 const codesInHundred = 100
 
-// Main runs the command line and returns the exit code.
-func Main() int {
+// Main runs the command line, with more commands beside its own, and returns
+// the exit code.
+func Main(more ...*cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	return run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr, more...)
 }
 
-func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer, more ...*cobra.Command) int {
 	o := &operator{}
 	root := rootCommand(o)
+	root.AddCommand(more...)
 	root.SetArgs(args)
 	root.SetIn(stdin)
 	root.SetOut(stdout)
--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -21,6 +21,8 @@
 	RequestsPerSecond int
 	// TokensPerSecond limits work on all nodes; 0 means no limit.
 	TokensPerSecond int
+	// Priority takes the place of the route's priority; 0 means the route's.
+	Priority int
 }
 
 // Key is a caller's key; only the hash of its secret is kept.
@@ -49,16 +51,53 @@
 	Plain Kind = "plain"
 )
 
+// Repeat says how often a request may run.
+type Repeat string
+
+// The ways to repeat a request.
+const (
+	// RepeatByMethod allows repeats for the methods listed in Idempotent, and
+	// for all model requests.
+	RepeatByMethod Repeat = ""
+	// RepeatNever allows one run.
+	RepeatNever Repeat = "never"
+	// RepeatAlways allows any number of runs.
+	RepeatAlways Repeat = "always"
+	// RepeatResume allows another run that continues the stream of the former.
+	RepeatResume Repeat = "resume"
+)
+
+// Target is a deployment that gets a part of a route's requests.
+type Target struct {
+	Deployment string
+	Weight     int
+}
+
 // Route maps requests to a deployment.
 type Route struct {
 	Name   string
 	Access Access
 	Kind   Kind
+	// Host is the host that a request names; empty means any.
+	Host string
 	// Path is the path prefix of a plain route, such as "/orders".
 	Path string
 	// Model is the model name of a model route.
 	Model      string
 	Deployment string
+	// Targets divide the requests among deployments in place of Deployment.
+	Targets []Target
+	// Stream says that answers are event streams.
+	Stream bool
+	Repeat Repeat
+	// Attempts limits the endpoints that one request may be sent to; 0 means
+	// that the rule of the deployment does.
+	Attempts int
+	// Target is the time to the first byte, or to the whole answer where it is
+	// no stream, that the operator aims at; 0 means none.
+	Target time.Duration
+	// Gap is the pause between events that the operator aims at; 0 means none.
+	Gap time.Duration
 	// Accounts lists the client accounts that may use the route; empty means all.
 	Accounts []string
 	// Idempotent lists the methods that may be repeated.
@@ -74,6 +113,9 @@
 //
 // Model requests may: they change nothing.
 func (r Route) MayRepeat(method string) bool {
+	if r.Repeat != RepeatByMethod {
+		return r.Repeat != RepeatNever
+	}
 	if r.Kind == Model {
 		return true
 	}
@@ -85,6 +127,31 @@
 	return false
 }
 
+// WithDeployment returns a copy that sends to one deployment.
+func (r Route) WithDeployment(name string) Route {
+	r.Deployment, r.Targets = name, nil
+	return r
+}
+
+// DeploymentAt returns the deployment of a request by a number that is spread
+// evenly over requests.
+func (r Route) DeploymentAt(n uint64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Deployment
+	}
+	at := int(n % uint64(total))
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Deployment
+		}
+	}
+	return r.Deployment
+}
+
 // Allows reports whether a client account may use the route.
 func (r Route) Allows(account string) bool {
 	if len(r.Accounts) == 0 {
@@ -106,12 +173,21 @@
 	Attempts int
 	// RetryShare limits retries to this share of requests.
 	RetryShare float64
-	Backoff    time.Duration
+	// RetryBurst is the number of retries that one node may make beyond that
+	// share in one burst; 0 means the reserve of a bucket.
+	RetryBurst float64
+	// CountRefused says that an attempt which an endpoint refused counts against
+	// the retry budget like one that ran.
+	CountRefused bool
+	Backoff      time.Duration
 	// EjectAfter sets an endpoint aside after this many failures in a row.
 	EjectAfter int
 	EjectFor   time.Duration
 	// IdleTimeout ends an answer that makes no progress.
 	IdleTimeout time.Duration
+	// FirstTimeout gives up an endpoint that does not begin to answer a request
+	// which may be repeated; 0 means none.
+	FirstTimeout time.Duration
 }
 
 // Fencing says whether engines refuse orders with an old fencing token.
@@ -144,6 +220,22 @@
 	Cost int
 }
 
+// Engine describes the model engines of a deployment.
+type Engine struct {
+	// Tokens is the memory of an engine for prompts and answers, in tokens.
+	Tokens int
+	// TokenBytes is the size of one token in that memory.
+	TokenBytes int
+	// LinkMbps is the rate at which engines copy memory to one another.
+	LinkMbps float64
+	// HandleLife is how long an engine keeps a prompt that it has read for
+	// another engine; 0 means that engines do not hand prompts over.
+	HandleLife time.Duration
+	// Fetches says that an engine can copy the beginning of a prompt from the
+	// cache of another.
+	Fetches bool
+}
+
 // Deployment is a group of endpoints that serve the same thing.
 type Deployment struct {
 	Name       string
@@ -168,10 +260,22 @@
 	// Adapters and Version are loaded on every engine.
 	Adapters []string
 	Version  string
+	// MaxConnections bounds the connections of all nodes to one endpoint; 0
+	// means no bound.
+	MaxConnections int
+	// HealthPath answers whether an endpoint is well; empty means none does.
+	HealthPath string
+	Engine     Engine
+	// Boot is how long an ordered endpoint takes until it serves.
+	Boot time.Duration
 }
 
 // Limits bounds what one node accepts.
 type Limits struct {
+	// HeaderWait and IdleWait bound the time for the header of a request and
+	// the time between two requests; 0 means the node's setting.
+	HeaderWait  time.Duration
+	IdleWait    time.Duration
 	MaxBody     int64
 	MaxHeader   int
 	MaxQueue    int
--- a/internal/config/definer/merged.go
+++ b/internal/config/definer/merged.go
@@ -17,6 +17,7 @@
 	routes      map[string]Route
 	byModel     map[string]Route
 	byPath      []Route
+	byHost      map[string]map[string]Route
 	rules       map[string]Rule
 	deployments map[string]Deployment
 	limits      Limits
@@ -45,10 +46,15 @@
 	for _, r := range d.Routes {
 		switch r.Kind {
 		case Model:
-			c.byModel[r.Model] = r
+			if r.Model != "" {
+				c.byModel[r.Model] = r
+			}
 		case Plain:
-			c.byPath = append(c.byPath, r)
+			if r.Host == "" {
+				c.byPath = append(c.byPath, r)
+			}
 		}
+		c.addHost(r)
 	}
 	// Longer prefixes come first, so that the first match is the best.
 	slices.SortFunc(c.byPath, func(a, b Route) int {
@@ -60,6 +66,22 @@
 	return c
 }
 
+// addHost notes a route that is found by host and path.
+func (c *Config) addHost(r Route) {
+	if r.Host == "" {
+		return
+	}
+	if c.byHost == nil {
+		c.byHost = make(map[string]map[string]Route)
+	}
+	paths, ok := c.byHost[r.Host]
+	if !ok {
+		paths = make(map[string]Route)
+		c.byHost[r.Host] = paths
+	}
+	paths[r.Path] = r
+}
+
 func index[K comparable, V any](vs []V, key func(V) K) map[K]V {
 	m := make(map[K]V, len(vs))
 	for _, v := range vs {
@@ -130,6 +152,18 @@
 	return Route{}, false
 }
 
+// RouteAt returns the route of a host whose path prefix is the longest that
+// begins the path. Prefixes end with a slash.
+func (c Config) RouteAt(host, path string) (Route, bool) {
+	paths := c.byHost[host]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := paths[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
 // Rule returns the service rule of a deployment, or the default rule.
 func (c Config) Rule(deployment string) Rule {
 	if r, ok := c.rules[deployment]; ok {
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -57,7 +57,9 @@
 //
 // It is an immutable value; the With methods return changed copies.
 type Endpoint struct {
-	ID         string
+	ID string
+	// Instance is the identity by which the endpoint knows itself.
+	Instance   string
 	Address    string
 	DataCentre string
 	Deployment string
@@ -70,6 +72,11 @@
 	// Unconfirmed says that neither the list nor a report is recent.
 	Unconfirmed bool
 	Report      Report
+	// Slots is the number of requests that it works on at once; 0 means that of
+	// its deployment.
+	Slots int
+	// Connections bounds this node's connections to it; 0 means no bound.
+	Connections int
 	// Sent is the number of requests of this node in progress.
 	Sent int
 	// SentWork is the work of those requests, in tokens.
--- a/internal/engine/speaker/client.go
+++ b/internal/engine/speaker/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
 // Client reaches the control interface of the endpoints.
@@ -56,6 +57,9 @@
 	return err
 }
 
+// Release does nothing: these engines keep no prompts for others.
+func (c Client) Release(context.Context, carrier.Handle) error { return nil }
+
 // Cancel tells an engine to stop working on a request.
 func (c Client) Cancel(ctx context.Context, address, requestID string) error {
 	_, err := c.send(ctx, http.MethodPost, address, "/engine/cancel/"+requestID, nil)
--- a/internal/fleet/observer/bench_test.go
+++ b/internal/fleet/observer/bench_test.go
@@ -10,6 +10,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
@@ -35,7 +36,7 @@
 				i++
 				id := w.vms[i%workers].ID
 				o.Sent(id, 500)
-				o.Done(id, 500, true, rule)
+				o.Done(id, 500, picker.SignGood, rule)
 			}
 			b.ReportMetric(bytes, "table-bytes")
 		})
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -22,6 +22,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
 // Observer keeps the table of endpoints.
@@ -135,12 +136,19 @@
 	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithSent(work) })
 }
 
-// Done notes the end of a request; ok is false if the endpoint failed.
-func (o *Observer) Done(id string, work int, ok bool, rule definer.Rule) {
+// Done notes the end of a request and what that tells of the endpoint.
+func (o *Observer) Done(id string, work int, sign picker.Sign, rule definer.Rule) {
 	now := o.Clock.Now()
-	if ok {
+	switch sign {
+	case picker.SignGood:
 		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithSuccess() })
 		return
+	case picker.SignNone, picker.SignFull:
+		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work) })
+		return
+	case picker.SignReplaced:
+		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithLeaving(true) })
+		return
 	}
 	e, _ := o.Table.Get(id)
 	reserved := e.Failures+1 >= rule.EjectAfter && !e.Ejected() && o.reserveEjection(e.Deployment)
@@ -156,6 +164,16 @@
 	}
 }
 
+// Report notes an endpoint's own account of its load, as an answer brought it.
+func (o *Observer) Report(id string, l carrier.Load) {
+	now := o.Clock.Now()
+	o.change(id, func(e picker.Endpoint) picker.Endpoint {
+		r := e.Report
+		r.At, r.Lag, r.InFlight, r.Queued = now, 0, l.Running, l.Waiting
+		return e.WithReport(r)
+	})
+}
+
 // ejectedShare is the divisor of the endpoints that may be ejected at once: a
 // fault that hits all endpoints must not take a deployment out of service.
 const ejectedShare = 3
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -74,11 +74,11 @@
 					o.Sent(name, 100)
 				}
 			case "answer":
-				o.Done(name, 100, true, rule)
+				o.Done(name, 100, picker.SignGood, rule)
 			case "fail":
 				for range count {
 					o.Sent(name, 100)
-					o.Done(name, 100, false, rule)
+					o.Done(name, 100, picker.SignFailed, rule)
 				}
 			case "probe":
 				return fmt.Sprintln(o.BeginProbe(name), o.BeginProbe(name))
--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -58,8 +58,11 @@
 
 // withVM returns an endpoint with what the list says of it.
 func withVM(e picker.Endpoint, v supplier.VM) picker.Endpoint {
-	e.ID, e.Address, e.DataCentre = v.ID, v.Address, v.DataCentre
-	e.Deployment, e.Tier = v.Deployment, v.Tier
+	e.ID, e.Instance, e.Address, e.DataCentre = v.ID, v.Instance, v.Address, v.DataCentre
+	e.Deployment, e.Tier, e.Slots = v.Deployment, v.Tier, v.Slots
+	if v.Role != "" {
+		e.Report.Role = picker.Role(v.Role)
+	}
 	return e.WithLeaving(v.State == supplier.Leaving)
 }
 
--- a/internal/fleet/supplier/supplier.go
+++ b/internal/fleet/supplier/supplier.go
@@ -23,12 +23,25 @@
 
 // VM is one entry of the list of VMs that carry endpoints.
 type VM struct {
-	ID         string
+	// ID names one start of the endpoint on the VM.
+	ID string
+	// Instance is the identity by which the endpoint knows itself; it may be
+	// that of an earlier start.
+	Instance   string
 	Address    string
 	DataCentre string
 	Deployment string
 	Tier       definer.Tier
 	State      VMState
+	// Role is the phase of work that an engine does; empty means any.
+	Role string
+	// Slots is the number of requests that the endpoint works on at once; 0
+	// means that of its deployment.
+	Slots int
+	// Cold is how much longer the endpoint is slow after its start.
+	Cold time.Duration
+	// LeavesIn is the time until a leaving endpoint is gone; 0 means unknown.
+	LeavesIn time.Duration
 }
 
 // VMs is the list of VMs.
--- a/internal/node/assembler/requests.go
+++ b/internal/node/assembler/requests.go
@@ -9,8 +9,10 @@
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/linker"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/engine/speaker"
+	"foxtailflow.example/foxtailflow/internal/engine/translator"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -47,15 +49,16 @@
 	n.claims = claimer.New(n.clock, n.log, n.platform, n.settings.ID)
 	n.dispatcher = &dispatcher.Dispatcher{
 		Clock:     n.clock,
+		Log:       n.log,
 		Configs:   n.applier,
 		Chooser:   n.chooser,
 		Endpoints: n.observer,
-		Forwarder: forwarder.New(n.clock, n.settings.ConnectWait),
+		Forwarder: forwarder.Forwarder{Clock: n.clock, Linker: n.endpointLinks(), Dialect: translator.Translator{}},
 		Queue:     n.queue,
 		Claims:    n.claims,
 		Engines:   speaker.Client{Transport: &http.Transport{}},
 		Random:    rand.Float64,
-		Budgets:   keeper.Table[dispatcher.Payer, retrier.Bucket]{Rank: keeper.RankAttempts},
+		Budgets:   keeper.Table[string, retrier.Bucket]{Rank: keeper.RankAttempts},
 	}
 	n.buildUsage()
 	n.dispatcher.Usage = n.usage
@@ -64,6 +67,23 @@
 	return nil
 }
 
+const (
+	// keptFor is how long a connection to an endpoint is kept idle.
+	keptFor = 30 * time.Second
+	// keptConnections bounds the idle connections to one endpoint.
+	keptConnections = 256
+)
+
+// endpointLinks returns the connections to endpoints.
+func (n *Node) endpointLinks() *linker.Linker {
+	return &linker.Linker{
+		Clock:    n.clock,
+		Dial:     linker.Dialer{Timeout: n.settings.ConnectWait}.Dial,
+		KeepFor:  keptFor,
+		KeepMost: keptConnections,
+	}
+}
+
 // buildUsage builds what seals and reports usage.
 func (n *Node) buildUsage() {
 	n.usage = &counter.Counter{}
--- /dev/null
+++ b/internal/node/composer/composer.go
@@ -0,0 +1,307 @@
+// Package composer builds a node that runs on a platform of the users.
+//
+// The platform's own protocol is behind Ports: a store, a front for callers, a
+// dialect for endpoints, and the receivers of reports and orders. What the node
+// decides, keeps and recovers is the same code whatever the ports speak.
+package composer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/linker"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/indexer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/fleet/lister"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/chooser"
+	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
+	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+	"foxtailflow.example/foxtailflow/internal/store/follower"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// Settings are what a node is told at its start.
+type Settings struct {
+	ID         string
+	DataCentre string
+	// CallersListen and ReadyListen are IP:port.
+	CallersListen string
+	ReadyListen   string
+	// Stop is the time from the signal to stop until the process is killed.
+	Stop time.Duration
+	// Lapse is how long a living endpoint takes to write its entry again.
+	Lapse time.Duration
+	// Workers is the number of requests in work at once.
+	Workers int
+}
+
+// Handler answers requests.
+type Handler func(ctx context.Context, r carrier.Request, reply carrier.Reply) carrier.Result
+
+// Configs returns the configuration in force.
+type Configs func() (definer.Config, error)
+
+// Ports are what a node has around it.
+type Ports struct {
+	Table transactor.Table
+	Feed  transactor.Feed
+	// ConfigKey is the row of the configuration, EndpointPrefix begins the rows
+	// of the endpoints' entries.
+	ConfigKey      string
+	EndpointPrefix string
+	DecodeConfig   func([]byte) (definer.Config, error)
+	DecodeEndpoint func(transactor.Row) (supplier.VM, error)
+	Dialect        forwarder.Dialect
+	Engines        dispatcher.Engines
+	// Callers returns the interface for callers.
+	Callers func(Configs, Handler) http.Handler
+	// ReadyPath is where the balancer asks whether the node takes requests.
+	ReadyPath string
+	// Links are the connections to endpoints.
+	Links *linker.Linker
+}
+
+// Node is one process of the system.
+type Node struct {
+	settings Settings
+	ports    Ports
+	clock    timekeeper.Clock
+	log      zerolog.Logger
+
+	configs   *follower.Follower
+	endpoints *follower.Follower
+	config    keeper.Cell[loaded]
+	lister    *lister.Lister
+	observer  *observer.Observer
+	queue     queue
+	handler   *dispatcher.Dispatcher
+	stopping  atomic.Bool
+
+	callers net.Listener
+	ready   net.Listener
+}
+
+// loaded is the configuration in force.
+type loaded struct {
+	config definer.Config
+	ok     bool
+}
+
+// The times of following the store.
+const (
+	// watchWait bounds a watch, so that a silent one is noticed within the bound
+	// for a change of the configuration.
+	watchWait = 2 * time.Second
+	// refreshEvery is how often a table is read whole although its watch works.
+	refreshEvery = 20 * time.Second
+	// watchRetry is the delay after a call of the store that failed.
+	watchRetry = 250 * time.Millisecond
+	// listEvery is how often lapsed entries are looked at.
+	listEvery = 500 * time.Millisecond
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = 2 * time.Second
+)
+
+// New builds a node and opens its listeners.
+func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
+	n := &Node{settings: s, ports: p, clock: clock, log: log}
+	n.configs = &follower.Follower{
+		Clock: clock, Log: log, Feed: p.Feed, Prefix: p.ConfigKey,
+		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: n.applyConfig,
+	}
+	n.endpoints = &follower.Follower{
+		Clock: clock, Log: log, Feed: p.Feed, Prefix: p.EndpointPrefix,
+		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: n.applyEndpoints,
+	}
+	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, Lapse: s.Lapse}
+	n.observer = &observer.Observer{
+		Clock: clock,
+		Log:   log,
+		VMs:   n.lister,
+		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
+	}
+	n.buildRequests()
+	var err error
+	if n.callers, err = listen(s.CallersListen); err != nil {
+		return nil, err
+	}
+	if n.ready, err = listen(s.ReadyListen); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, coder.Refuse(coder.SettingsBad, "cannot listen at %s", address).WithCause(err)
+	}
+	return l, nil
+}
+
+// applyConfig takes a new configuration into force.
+func (n *Node) applyConfig(s follower.Snapshot) {
+	row, ok := s.Get(n.ports.ConfigKey)
+	if !ok {
+		return
+	}
+	start := n.clock.Now()
+	cfg, err := n.ports.DecodeConfig(row.Value)
+	if err != nil {
+		n.log.Error().Uint64("row-version", row.Version).Err(err).Msg("configuration cannot be read")
+		return
+	}
+	n.config.Update(func(l loaded) (loaded, bool) {
+		if l.ok && cfg.Version() <= l.config.Version() {
+			return l, false
+		}
+		n.log.Info().Uint64("config-version", cfg.Version()).Uint64("before", l.config.Version()).
+			Int("bytes", len(row.Value)).Dur("decode-ms", n.clock.Now().Sub(start)).Msg("configuration in force")
+		return loaded{config: cfg, ok: true}, true
+	})
+}
+
+// Config returns the configuration in force; ConfigNotLoaded before the first.
+func (n *Node) Config() (definer.Config, error) {
+	l := n.config.Get()
+	if !l.ok {
+		return definer.Config{}, coder.Refuse(coder.ConfigNotLoaded, "the node has no configuration yet").WithRetryAfter(notLoadedRetry)
+	}
+	return l.config, nil
+}
+
+// notLoadedRetry is when a caller should come back to a node that starts.
+const notLoadedRetry = 200 * time.Millisecond
+
+// Current reports that the configuration may be used: one that was in force
+// stays so while the store cannot be reached.
+func (n *Node) Current() error { return nil }
+
+func (n *Node) applyEndpoints(follower.Snapshot) {
+	if err := n.observer.RefreshList(context.Background()); err != nil {
+		n.log.Error().Err(err).Msg("endpoints not refreshed")
+	}
+}
+
+// Ready reports why the node takes no requests, or nil.
+func (n *Node) Ready() error {
+	if n.stopping.Load() {
+		return coder.Refuse(coder.ShuttingDown, "the node is shutting down")
+	}
+	if _, err := n.Config(); err != nil {
+		return err
+	}
+	if !n.endpoints.Snapshot().Loaded() {
+		return coder.Refuse(coder.NoEndpoint, "the node has not read the endpoints")
+	}
+	return nil
+}
+
+// buildRequests builds what answers requests.
+func (n *Node) buildRequests() {
+	index := &indexer.Index{}
+	n.observer.OnGone = index.Forget
+	n.queue = make(queue, queueLimit)
+	n.handler = &dispatcher.Dispatcher{
+		Clock:   n.clock,
+		Log:     n.log,
+		Configs: n,
+		Chooser: chooser.Chooser{
+			Clock: n.clock, Log: n.log, DataCentre: n.settings.DataCentre,
+			Observer: n.observer, Index: index, Limits: n.limits,
+		},
+		Endpoints: n.observer,
+		Forwarder: forwarder.Forwarder{Clock: n.clock, Linker: n.ports.Links, Dialect: n.ports.Dialect},
+		Queue:     n.queue,
+		Engines:   n.ports.Engines,
+		Random:    rand.Float64,
+	}
+}
+
+func (n *Node) limits() definer.Limits {
+	if l := n.config.Get(); l.ok {
+		return l.config.Limits()
+	}
+	return definer.DefaultLimits()
+}
+
+// Run serves until ctx is done, then finishes what runs and returns.
+func (n *Node) Run(ctx context.Context) error {
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var wg conc.WaitGroup
+	wg.Go(func() { n.configs.Run(tasks) })
+	wg.Go(func() { n.endpoints.Run(tasks) })
+	for _, p := range n.periodic() {
+		wg.Go(func() { p.Run(tasks, n.clock, n.log) })
+	}
+	wg.Go(func() {
+		runner.Pool[*dispatcher.Job]{Workers: n.settings.Workers, Source: n.queue, Handle: n.handler.Handle}.Run(tasks)
+	})
+	callers := &http.Server{
+		Handler:           n.ports.Callers(n.Config, n.handler.Do),
+		ReadHeaderTimeout: headerWait,
+		MaxHeaderBytes:    maxHeader,
+	}
+	ready := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerWait}
+	wg.Go(func() { n.serve(callers, n.callers) })
+	wg.Go(func() { n.serve(ready, n.ready) })
+	n.log.Info().Str("node", n.settings.ID).Str("data-centre", n.settings.DataCentre).
+		Str("callers", n.settings.CallersListen).Msg("node started")
+	<-ctx.Done()
+	n.stop(callers)
+	_ = ready.Close()
+	stopTasks()
+	wg.Wait()
+	n.log.Info().Msg("node stopped")
+	return nil
+}
+
+const (
+	headerWait = 10 * time.Second
+	// maxHeader is the greatest header that any configuration allows.
+	maxHeader = 1 << 20
+	// queueLimit bounds the requests that wait for a worker of the node.
+	queueLimit = 4096
+)
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
+	}
+}
+
+func (n *Node) periodic() []runner.Periodic {
+	return []runner.Periodic{
+		{Name: "endpoint-list", Every: listEvery, Task: n.observer.RefreshList},
+		{Name: "connections", Every: sweepEvery, Task: n.ports.Links.Sweep},
+	}
+}
+
+// stop ends the callers' interface once what runs is finished.
+func (n *Node) stop(server *http.Server) {
+	n.stopping.Store(true)
+	server.SetKeepAlivesEnabled(false)
+	n.log.Info().Msg("node drains")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Stop)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("requests were still running when the time to stop ended")
+	}
+}
--- a/internal/request/attempter/history.go
+++ b/internal/request/attempter/history.go
@@ -12,8 +12,10 @@
 	Repeatable bool
 	// Continues says that its answer can be continued where it broke.
 	Continues bool
-	// Attempts limits the attempts.
+	// Attempts limits the attempts, Runs those of them that may have run; 0
+	// means no limit of its own.
 	Attempts int
+	Runs     int
 }
 
 // Refusal says why no further attempt is allowed.
@@ -37,9 +39,9 @@
 // It is an immutable value; the With methods return extended copies.
 type History struct {
 	count int
-	last  Attempt
-	// mayHaveRun says that the outcome of an attempt is unknown.
-	mayHaveRun bool
+	// runs counts the attempts whose outcome is unknown.
+	runs int
+	last Attempt
 	// begun says that the caller has a part of the answer.
 	begun bool
 }
@@ -49,7 +51,9 @@
 func (h History) WithAttempt(a Attempt, begun bool) History {
 	h.count++
 	h.last = a
-	h.mayHaveRun = h.mayHaveRun || a.Outcome() == coder.Unknown
+	if a.Outcome() == coder.Unknown {
+		h.runs++
+	}
 	h.begun = h.begun || begun
 	return h
 }
@@ -70,7 +74,7 @@
 // Outcome says what is known about the effect of all attempts together: once
 // one may have run, no later one makes the request "not run" again.
 func (h History) Outcome() coder.Outcome {
-	if h.mayHaveRun {
+	if h.runs > 0 {
 		return coder.Unknown
 	}
 	return coder.NotRun
@@ -97,11 +101,11 @@
 		return CallerLeft
 	case !r.Repeatable:
 		return BodyConsumed
-	case h.mayHaveRun && !r.Idempotent:
+	case h.runs > 0 && !r.Idempotent:
 		return MayHaveRun
 	case h.begun && !r.Continues:
 		return AnswerBegun
-	case h.count >= r.Attempts:
+	case h.count >= r.Attempts, r.Runs > 0 && h.runs >= r.Runs:
 		return AttemptsSpent
 	}
 	return Allowed
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -43,6 +43,13 @@
 // Repeatable reports whether the body can be sent again.
 func (b Body) Repeatable() bool { return b.Stream == nil }
 
+// Part is a part of a prompt; requests whose prompts begin with the same parts
+// share the engine's work on them.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
 // Request is one request of a caller.
 //
 // It is an immutable value; the With methods return changed copies.
@@ -54,6 +61,8 @@
 	// ConfigVersion is the configuration by which the request was accepted.
 	ConfigVersion uint64
 	Method        string
+	// Host is the host that the caller has named.
+	Host string
 	// Target is the path with its query.
 	Target string
 	Header Header
@@ -67,8 +76,15 @@
 	Stream bool
 	// HideUsage drops the usage event that the caller has not asked for.
 	HideUsage bool
+	// Priority orders requests; higher goes first.
+	Priority int
+	// After is the last event of a stream that the caller already has.
+	After string
 	// Prompt is the raw text by which prompts with equal beginnings are found.
 	Prompt []byte
+	// Parts are the parts of the prompt in order, where the caller names them
+	// in place of the text.
+	Parts []Part
 	// PromptTokens is an estimate; MaxTokens is the caller's bound, 0 if none.
 	PromptTokens int
 	MaxTokens    int
@@ -80,6 +96,12 @@
 	return r
 }
 
+// WithRoute returns a copy that is served by another route.
+func (r Request) WithRoute(route definer.Route) Request {
+	r.Route = route
+	return r
+}
+
 // Work estimates the tokens that the request costs an engine.
 func (r Request) Work() int { return r.PromptTokens + r.MaxTokens }
 
@@ -92,6 +114,8 @@
 type Head struct {
 	Status int
 	Header Header
+	// Undelimited says that the end of the answer is that of its connection.
+	Undelimited bool
 }
 
 // Reply takes the answer to one request.
@@ -111,6 +135,39 @@
 	return r.IdempotencyKey != "" && !r.Route.MayRepeat(r.Method)
 }
 
+// Answer is a whole answer that is held by the node.
+type Answer struct {
+	Head Head
+	Body []byte
+}
+
+// Held reports whether there is an answer.
+func (a Answer) Held() bool { return a.Head.Status != 0 }
+
+// Handle names a prompt that an engine has read and keeps for another engine.
+type Handle struct {
+	ID string
+	// Address is where the engine is.
+	Address string
+}
+
+// Progress is how far a request has come when an endpoint is to be chosen.
+type Progress struct {
+	// Tried names the endpoints that have failed the request or refused it.
+	Tried []string
+	// Source has the prompt already; its zero value means that none has.
+	Source Handle
+	// Direct says that the endpoint which answers has to read the prompt.
+	Direct bool
+}
+
+// Load is an endpoint's own account of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
 // Usage is what an endpoint says an answer has used.
 type Usage struct {
 	// Reported says that the endpoint has given the figures.
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -39,16 +39,15 @@
 	unknownOutput = 256
 )
 
-// Choose returns the endpoint for the next attempt; tried names those that
-// have failed the request.
-func (c Chooser) Choose(r carrier.Request, tried []string) picker.Choice {
+// Choose returns the endpoint for the next attempt.
+func (c Chooser) Choose(r carrier.Request, p carrier.Progress) picker.Plan {
 	need := picker.Need{
 		RequestID:  r.ID,
 		DataCentre: c.DataCentre,
 		Phase:      picker.Both,
-		Priority:   r.Route.Priority,
+		Priority:   r.Priority,
 		Work:       r.Work(),
-		Tried:      tried,
+		Tried:      p.Tried,
 		MayRepeat:  r.MayRepeat(),
 		Random:     rand.Uint64(),
 		Now:        c.Clock.Now(),
@@ -66,7 +65,7 @@
 		c.Index.Store(choice.Endpoint.ID, prefix)
 	}
 	explainer.LogRouting(c.Log, r.ID, r.Account, r.Route.Deployment, choice)
-	return choice
+	return picker.Plan{Run: choice}
 }
 
 func (c Chooser) pick(need picker.Need, deployment string) picker.Choice {
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -16,49 +16,81 @@
 	reply carrier.Reply
 	rule  definer.Rule
 	// start is the state in which each attempt begins.
-	start   attempter.Attempt
-	history attempter.History
-	tried   []string
-	events  int
-	result  carrier.Result
+	start    attempter.Attempt
+	history  attempter.History
+	progress carrier.Progress
+	// source has the prompt of the request until an attempt has used it up.
+	source readPrompt
+	events int
+	last   string
+	result carrier.Result
+	// held is an answer by which an endpoint failed the request; it is passed
+	// on if no other attempt gives a better one.
+	held carrier.Answer
+	// sends counts the attempts, reads the engines that did not read the prompt.
+	sends int
+	reads int
 }
 
 // run makes attempts until the answer is whole or no further one is allowed.
 func (d *Dispatcher) run(job *Job, reply carrier.Reply, rule definer.Rule, start attempter.Attempt) carrier.Result {
-	c := &course{job: job, reply: reply, rule: rule, start: start}
+	c := &course{job: job, reply: reply, rule: rule, start: start, last: job.request.After}
 	d.payIn(job.request, rule)
 	for {
-		choice := d.Chooser.Choose(job.request, c.tried)
-		if !choice.OK {
+		plan := d.Chooser.Choose(job.request, c.progress)
+		if plan.Read.OK && c.source.handle.ID == "" {
+			if !d.read(c, plan) {
+				break
+			}
+			continue
+		}
+		if !plan.Run.OK {
 			if c.result.Err == nil {
 				c.result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint can take the request").WithRetryAfter(rule.Backoff)
 			}
-			return c.result
+			break
 		}
-		if !d.tryAt(c, choice.Endpoint) || !d.mayRepeat(c) {
-			return c.result
+		if !d.tryAt(c, plan) || !d.mayRepeat(c) {
+			break
 		}
 		repeated.Add(1)
 	}
+	d.release(c)
+	d.passHeld(c)
+	return c.result
+}
+
+// passHeld passes on the answer of an endpoint that failed the request, where
+// nothing better came.
+func (d *Dispatcher) passHeld(c *course) {
+	if c.result.Err == nil || c.result.Begun || !c.held.Held() || c.job.ctx.Err() != nil {
+		return
+	}
+	c.result = carrier.Result{Begun: true, Whole: true, Status: c.held.Head.Status, Endpoint: c.result.Endpoint}
+	c.result.Err = c.reply.Begin(c.job.ctx, c.held.Head)
+	if c.result.Err == nil && len(c.held.Body) > 0 {
+		c.result.Err = c.reply.Write(c.job.ctx, c.held.Body)
+	}
 }
 
 // tryAt makes an attempt at an endpoint. A stream that breaks there is resumed
 // there once: the engine still has its work on the prompt. It reports whether
 // another attempt is worth thinking of.
-func (d *Dispatcher) tryAt(c *course, e picker.Endpoint) bool {
-	rep := d.attempt(c, e, false)
+func (d *Dispatcher) tryAt(c *course, plan picker.Plan) bool {
+	e := plan.Run.Endpoint
+	rep := d.attempt(c, plan, false)
 	c.history = c.history.WithAttempt(rep.Attempt, rep.Begun)
 	c.take(d, e, rep)
 	if c.result.Err != nil && c.resumable(rep) {
 		resumed.Add(1)
-		rep = d.attempt(c, e, true)
+		rep = d.attempt(c, plan, true)
 		c.history = c.history.WithResumed(rep.Attempt)
 		c.take(d, e, rep)
 	}
 	if c.result.Err != nil && rep.Attempt.Reached() >= attempter.Sending && c.model() {
 		c.job.left = append(c.job.left, e.Address)
 	}
-	c.tried = append(c.tried, e.ID)
+	c.progress.Tried = append(c.progress.Tried, e.ID)
 	return c.result.Err != nil
 }
 
@@ -66,36 +98,93 @@
 
 // continues reports whether an answer that broke can be continued: only the
 // event stream of an engine can.
-func (c *course) continues() bool { return c.job.request.Stream && c.model() }
+func (c *course) continues() bool {
+	r := c.job.request
+	return r.Stream && (r.Route.Repeat == definer.RepeatResume || c.model() && r.Route.Repeat == definer.RepeatByMethod)
+}
 
 // resumable reports whether the engine may still have the stream.
 func (c *course) resumable(rep forwarder.Report) bool {
-	return c.continues() && rep.Begun && c.job.ctx.Err() == nil && coder.Is(rep.Attempt.Err(), coder.AnswerCut)
+	return c.job.request.Route.Repeat == definer.RepeatByMethod && c.continues() && rep.Begun &&
+		c.job.ctx.Err() == nil && coder.Is(rep.Attempt.Err(), coder.AnswerCut)
 }
 
-func (d *Dispatcher) attempt(c *course, e picker.Endpoint, resume bool) forwarder.Report {
-	r := c.job.request
-	w := r.Work()
-	d.Endpoints.Sent(e.ID, w)
-	rep := d.Forwarder.Forward(c.job.ctx, forwarder.Attempt{
+func (d *Dispatcher) attempt(c *course, plan picker.Plan, resume bool) forwarder.Report {
+	r, e := c.job.request, plan.Run.Endpoint
+	a := forwarder.Attempt{
 		Request:     r,
+		Endpoint:    e.Instance,
 		Address:     e.Address,
+		Connections: e.Connections,
 		Start:       c.start,
 		Begun:       c.history.Begun(),
 		From:        c.events,
+		After:       c.last,
 		Resume:      resume,
+		Source:      c.source.handle,
 		IdleTimeout: c.rule.IdleTimeout,
-	}, c.reply)
-	err := rep.Attempt.Err()
-	// Results 1xx are the caller's fault: it has left, or its body failed.
-	blame := err != nil && c.job.ctx.Err() == nil && coder.Of(err).Code()/100 != 1
-	d.Endpoints.Done(e.ID, w, !blame, c.rule)
+		OnFirst:     func() { d.begun(c) },
+	}
+	if a.Source.ID == "" {
+		a.Fetch = plan.Fetch
+	}
+	if r.MayRepeat() {
+		a.FirstTimeout = c.rule.FirstTimeout
+	}
+	w := r.Work()
+	d.Endpoints.Sent(e.ID, w)
+	rep := d.Forwarder.Forward(c.job.ctx, a, c.reply)
+	d.note(c, e, w, rep)
+	// A handle can be used once; an endpoint that refused has left it alone.
+	if rep.Attempt.Outcome() == coder.Unknown || rep.Attempt.Whole() {
+		c.source = readPrompt{}
+	}
 	return rep
 }
 
+// note tells what an attempt says of its endpoint.
+func (d *Dispatcher) note(c *course, e picker.Endpoint, work int, rep forwarder.Report) {
+	c.sends++
+	if rep.Loaded {
+		d.Endpoints.Report(e.ID, rep.Load)
+	}
+	d.Endpoints.Done(e.ID, work, c.sign(rep.Attempt.Err()), c.rule)
+	if err := rep.Attempt.Err(); err != nil {
+		d.Log.Info().Str("request", c.job.request.ID).Str("endpoint", e.ID).Int("attempt", c.sends).
+			Str("outcome", rep.Attempt.Outcome().String()).Err(err).Msg("attempt failed")
+	}
+}
+
+// sign returns what a failure tells of the endpoint.
+func (c *course) sign(err error) picker.Sign {
+	switch code := coder.Of(err).Code(); {
+	case err == nil:
+		return picker.SignGood
+	// Results 1xx are the caller's fault: it has left, or its body failed.
+	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull:
+		return picker.SignNone
+	case code == coder.EndpointRefused:
+		return picker.SignFull
+	case code == coder.EndpointReplaced:
+		return picker.SignReplaced
+	}
+	return picker.SignFailed
+}
+
+// begun notes that the request has begun to run, once.
+func (d *Dispatcher) begun(c *course) {
+	if c.job.began {
+		return
+	}
+	c.job.began = true
+	if d.Begun != nil {
+		d.Begun(c.job.request)
+	}
+}
+
 // take adds the report of an attempt to the result.
 func (c *course) take(d *Dispatcher, e picker.Endpoint, rep forwarder.Report) {
-	c.events = rep.Events
+	c.events, c.last = rep.Events, rep.Last
 	c.result.Begun = rep.Begun
 	c.result.Endpoint = e.ID
 	if rep.Status != 0 {
@@ -104,6 +193,9 @@
 	if rep.Usage.Reported {
 		c.result.Usage = rep.Usage
 	}
+	if rep.Held.Held() {
+		c.held = rep.Held
+	}
 	c.result.Whole = rep.Attempt.Whole()
 	c.result.Err = d.failure(c)
 }
@@ -114,28 +206,34 @@
 	if err == nil || c.job.ctx.Err() == nil {
 		return err
 	}
-	code, text := coder.CallerGone, "the caller has left"
-	if !d.Clock.Now().Before(c.job.request.Deadline) {
-		code, text = coder.DeadlinePassed, "the deadline has passed"
+	return d.ended(c.job, err).WithOutcome(c.history.Outcome())
+}
+
+// ended names why the work on a job has ended from outside.
+func (d *Dispatcher) ended(job *Job, cause error) coder.Error {
+	if !d.Clock.Now().Before(job.request.Deadline) {
+		return coder.Wrap(coder.DeadlinePassed, cause, "the deadline has passed")
 	}
-	return coder.Wrap(code, err, "%s", text).WithOutcome(c.history.Outcome())
+	return coder.Wrap(coder.CallerGone, cause, "the caller has left")
 }
 
 // mayRepeat reports whether another attempt is allowed, once its delay is over.
 func (d *Dispatcher) mayRepeat(c *course) bool {
 	r := c.job.request
-	refusal := c.history.Retry(attempter.Request{
+	request := attempter.Request{
 		Idempotent: r.Route.MayRepeat(r.Method),
 		Repeatable: r.Body.Repeatable(),
 		Continues:  c.continues(),
 		Attempts:   c.rule.Attempts,
-	})
-	if refusal != attempter.Allowed || c.job.ctx.Err() != nil {
+		Runs:       r.Route.Attempts,
+	}
+	if r.Route.Attempts > 0 {
+		request.Attempts = r.Route.Attempts + maxRefusals
+	}
+	if c.history.Retry(request) != attempter.Allowed || c.job.ctx.Err() != nil {
 		return false
 	}
-	// An attempt that did not run has cost no endpoint anything.
-	if c.history.Outcome() == coder.Unknown && !d.payOut(r) {
-		overrun.Add(1)
+	if !d.payFor(c) {
 		return false
 	}
 	left := r.Deadline.Sub(d.Clock.Now())
@@ -143,13 +241,27 @@
 	return ok && d.Clock.Sleep(c.job.ctx, wait) == nil
 }
 
-func payer(r carrier.Request) Payer {
-	return Payer{Route: r.Route.Name, Account: r.Account}
+// maxRefusals is how often a request is refused by endpoints, beside the runs
+// that its route allows, before the caller is told to come back.
+const maxRefusals = 3
+
+// payFor takes another attempt out of the retry budget, if it counts.
+func (d *Dispatcher) payFor(c *course) bool {
+	err := c.history.Err()
+	if c.history.Outcome() == coder.NotRun && (!c.rule.CountRefused || coder.Is(err, coder.EndpointUnreachable)) {
+		// What did not arrive, or did not run, has cost no endpoint anything.
+		return true
+	}
+	if !d.payOut(c.job.request, c.rule) {
+		overrun.Add(1)
+		return false
+	}
+	return true
 }
 
 // payIn adds a request's share of a retry to its budget.
 func (d *Dispatcher) payIn(r carrier.Request, rule definer.Rule) {
-	d.Budgets.Update(payer(r), func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
+	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
 		b = b.WithRequest(rule.RetryShare)
 		// A full bucket is the same as none, so the table holds few rows.
 		return b, b != retrier.Bucket{}
@@ -157,9 +269,13 @@
 }
 
 // payOut takes a retry out of the budget, if there is one.
-func (d *Dispatcher) payOut(r carrier.Request) (paid bool) {
-	d.Budgets.Update(payer(r), func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
-		b, paid = b.WithRetry()
+func (d *Dispatcher) payOut(r carrier.Request, rule definer.Rule) (paid bool) {
+	reserve := rule.RetryBurst
+	if reserve == 0 {
+		reserve = retrier.Reserve
+	}
+	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
+		b, paid = b.WithRetry(reserve)
 		return b, true
 	})
 	return paid
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -12,8 +12,11 @@
 	"context"
 	"expvar"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
@@ -36,9 +39,8 @@
 
 // Chooser chooses endpoints.
 type Chooser interface {
-	// Choose returns the endpoint for the next attempt; tried names those that
-	// have failed the request.
-	Choose(r carrier.Request, tried []string) picker.Choice
+	// Choose returns where the next step of a request goes.
+	Choose(r carrier.Request, p carrier.Progress) picker.Plan
 }
 
 // Queue holds the jobs that wait for a worker.
@@ -55,8 +57,18 @@
 type Endpoints interface {
 	// Sent notes that a request of the given work goes to an endpoint.
 	Sent(id string, work int)
-	// Done notes its end; ok is false if the endpoint failed.
-	Done(id string, work int, ok bool, rule definer.Rule)
+	// Done notes its end and what that tells of the endpoint.
+	Done(id string, work int, sign picker.Sign, rule definer.Rule)
+	// Report notes the endpoint's own account of its load.
+	Report(id string, l carrier.Load)
+}
+
+// Forwarder makes attempts.
+type Forwarder interface {
+	// Forward has an endpoint answer the request.
+	Forward(ctx context.Context, a forwarder.Attempt, reply carrier.Reply) forwarder.Report
+	// Read has an endpoint read the prompt of the request and keep it.
+	Read(ctx context.Context, a forwarder.Attempt) (carrier.Handle, forwarder.Report)
 }
 
 // Claims holds the claims of idempotency keys.
@@ -80,6 +92,8 @@
 type Engines interface {
 	// Cancel tells the engine at address to stop working on a request.
 	Cancel(ctx context.Context, address, requestID string) error
+	// Release tells an engine that nobody will take a prompt that it keeps.
+	Release(ctx context.Context, h carrier.Handle) error
 }
 
 // Job is a request in the queue.
@@ -93,32 +107,33 @@
 	done    chan carrier.Result
 	// left are the addresses of engines that may still work on the request.
 	left []string
+	// began says that an endpoint has begun to answer.
+	began bool
 }
 
 // Request returns the request of the job.
 func (j *Job) Request() carrier.Request { return j.request }
 
-// Payer is who pays for retries: a route and client account.
-type Payer struct {
-	Route   string
-	Account string
-}
-
 // Dispatcher answers requests.
 type Dispatcher struct {
 	Clock     timekeeper.Clock
+	Log       zerolog.Logger
 	Configs   Configs
 	Chooser   Chooser
 	Endpoints Endpoints
-	Forwarder forwarder.Forwarder
+	Forwarder Forwarder
 	Queue     Queue
 	Claims    Claims
-	Usage     Usage
-	Engines   Engines
+	// Usage counts what answers have used; nil means that nothing is counted.
+	Usage   Usage
+	Engines Engines
 	// Random returns a random number in [0, 1).
 	Random func() float64
-	// Budgets are the retry budgets.
-	Budgets keeper.Table[Payer, retrier.Bucket]
+	// Begun is called when a request has begun to run, once for each; nil means
+	// nothing.
+	Begun func(r carrier.Request)
+	// Budgets are the retry budgets of the deployments.
+	Budgets keeper.Table[string, retrier.Bucket]
 }
 
 var (
@@ -150,7 +165,7 @@
 
 // Handle answers the request of one job; the worker pool calls it.
 func (d *Dispatcher) Handle(ctx context.Context, job *Job) {
-	result := d.answer(job)
+	result := d.guarded(job)
 	count(result)
 	d.count(job.request, result)
 	d.Queue.Done(job, result)
@@ -158,6 +173,17 @@
 	d.cancelLeft(ctx, job)
 }
 
+// guarded answers a job; a fault of the program ends one request and no worker.
+func (d *Dispatcher) guarded(job *Job) (result carrier.Result) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.Log.Error().Str("request", job.request.ID).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("request failed by a fault of the program")
+			result = carrier.Result{Begun: true, Err: coder.New(coder.Internal, "a fault of the program")}
+		}
+	}()
+	return d.answer(job)
+}
+
 func count(r carrier.Result) {
 	switch {
 	case r.Err == nil:
@@ -177,7 +203,7 @@
 func (d *Dispatcher) count(r carrier.Request, result carrier.Result) {
 	f := counter.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
 	switch {
-	case result.Replayed:
+	case result.Replayed, d.Usage == nil:
 		return
 	case r.Route.Kind == definer.Plain:
 		// A service gives no figures: an answer that the recorder has whole
--- /dev/null
+++ b/internal/request/dispatcher/read.go
@@ -0,0 +1,77 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+)
+
+// readPrompt is a prompt that an engine keeps for the engine that answers.
+type readPrompt struct {
+	handle   carrier.Handle
+	endpoint picker.Endpoint
+}
+
+// maxReads is how many engines are asked to read one prompt; after that, the
+// engine that answers reads it.
+const maxReads = 2
+
+// read has an engine read the prompt, and reports whether the request goes on.
+//
+// An engine that refuses or fails has not begun the answer, so the next one is
+// asked, or the one that answers reads the prompt itself.
+func (d *Dispatcher) read(c *course, plan picker.Plan) bool {
+	r, e := c.job.request, plan.Read.Endpoint
+	w := r.PromptTokens
+	d.Endpoints.Sent(e.ID, w)
+	h, rep := d.Forwarder.Read(c.job.ctx, forwarder.Attempt{
+		Request:     r,
+		Endpoint:    e.Instance,
+		Address:     e.Address,
+		Connections: e.Connections,
+		Fetch:       plan.Fetch,
+	})
+	c.sends++
+	err := rep.Attempt.Err()
+	d.Endpoints.Done(e.ID, w, c.sign(err), c.rule)
+	if err == nil {
+		c.source = readPrompt{handle: h, endpoint: e}
+		c.progress.Source = h
+		// The first prompt that is read costs nothing of the budget.
+		c.sends--
+		return true
+	}
+	d.Log.Info().Str("request", r.ID).Str("endpoint", e.ID).Err(err).Msg("prompt not read")
+	if c.job.ctx.Err() != nil {
+		c.result.Err = d.ended(c.job, err).WithOutcome(coder.NotRun)
+		return false
+	}
+	c.progress.Tried = append(c.progress.Tried, e.ID)
+	c.reads++
+	c.progress.Direct = c.reads >= maxReads
+	if coder.Is(err, coder.EndpointUnreachable) || d.payOut(r, c.rule) {
+		return true
+	}
+	overrun.Add(1)
+	c.result.Err = coder.Wrap(coder.EndpointRefused, err, "no engine read the prompt").WithOutcome(coder.NotRun).WithRetryAfter(c.rule.Backoff)
+	return false
+}
+
+// releaseWait bounds a message that only saves an engine memory.
+const releaseWait = 500 * time.Millisecond
+
+// release gives a prompt back that no engine has taken.
+func (d *Dispatcher) release(c *course) {
+	if c.source.handle.ID == "" || d.Engines == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.job.ctx), releaseWait)
+	defer cancel()
+	if err := d.Engines.Release(ctx, c.source.handle); err != nil {
+		d.Log.Info().Str("request", c.job.request.ID).Str("endpoint", c.source.endpoint.ID).Err(err).Msg("prompt not released")
+	}
+}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -1,76 +1,114 @@
 // Package forwarder makes one attempt to have an endpoint answer a request.
 //
-// It knows HTTP and nothing of retries. It reports what happens as events to
-// the state machine of the attempt: that a byte of the request may have left,
-// that the answer began, that it was whole. The dispatcher draws the
-// conclusions.
+// It knows nothing of retries, nor of the words of the endpoints: a Dialect
+// encodes requests and says what an answer means. The forwarder reports what
+// happens as events to the state machine of the attempt: that a byte of the
+// request may have left, that the answer began, that it was whole. The
+// dispatcher draws the conclusions.
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/linker"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/config/definer"
-	"foxtailflow.example/foxtailflow/internal/engine/speaker"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
-// Forwarder sends attempts.
-type Forwarder struct {
-	Clock timekeeper.Clock
-	// Shared carries requests that may be repeated, over kept connections.
-	Shared http.RoundTripper
-	// Fresh carries requests that may not, each over a connection of its own:
-	// net/http repeats some requests by itself when a kept connection fails.
-	Fresh http.RoundTripper
-}
-
-// New returns a forwarder with transports for its two kinds of request.
-func New(clock timekeeper.Clock, connectWait time.Duration) Forwarder {
-	dialer := &net.Dialer{Timeout: connectWait}
-	shared := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: keptConnections,
-		IdleConnTimeout:     keptFor,
-	}
-	fresh := shared.Clone()
-	fresh.DisableKeepAlives = true
-	return Forwarder{Clock: clock, Shared: shared, Fresh: fresh}
-}
+// Mode is the way in which an answer is passed on.
+type Mode int
 
+// The ways to pass an answer on.
 const (
-	keptConnections = 256
-	keptFor         = 30 * time.Second
+	// Whole reads an answer to its end first, so that one which is cut can be
+	// repeated.
+	Whole Mode = iota
+	// Pieces passes an answer on as it comes.
+	Pieces
+	// Events passes an event stream on, one whole event after the other.
+	Events
 )
 
+// Event is one event of a stream.
+type Event struct {
+	// Data is what the caller is sent; empty means nothing.
+	Data []byte
+	// ID names the event where the endpoint numbers its events.
+	ID string
+	// Last marks the end of a whole stream.
+	Last  bool
+	Usage carrier.Usage
+}
+
+// Dialect is how endpoints are spoken to.
+type Dialect interface {
+	// Encode returns the request of an attempt for which the given time is left.
+	Encode(a Attempt, left time.Duration) (linker.Message, error)
+	// Belongs reports whether the head of an answer names the request.
+	Belongs(r carrier.Request, h carrier.Head) bool
+	// Check says, by the head of an answer, why the attempt has failed. The
+	// outcome NotRun is the endpoint's own statement that it has not begun.
+	Check(a Attempt, h carrier.Head) error
+	// Mode says how an answer is passed on.
+	Mode(a Attempt, h carrier.Head) Mode
+	// Answer checks an answer that was read whole.
+	Answer(a Attempt, h carrier.Head, body []byte) (carrier.Usage, error)
+	// Event decodes one event with the blank line that ends it.
+	Event(a Attempt, event []byte) (Event, error)
+	// MarksEnd says that a stream is whole only after an event that is its last.
+	MarksEnd() bool
+	// Load returns the endpoint's load as the head of an answer tells it.
+	Load(h carrier.Head) (carrier.Load, bool)
+	// Handle decodes the answer to a request that only has its prompt read.
+	Handle(body []byte) (carrier.Handle, error)
+}
+
+// Forwarder sends attempts.
+type Forwarder struct {
+	Clock   timekeeper.Clock
+	Linker  *linker.Linker
+	Dialect Dialect
+}
+
 // Attempt is one attempt at a request.
 type Attempt struct {
 	Request carrier.Request
-	Address string
+	// Endpoint is the identity that the endpoint must have, Address where it is.
+	Endpoint string
+	Address  string
+	// Connections bounds this node's connections to the endpoint; 0 means no
+	// bound.
+	Connections int
 	// Start is the state in which the attempt begins.
 	Start attempter.Attempt
 	// Begun says that the caller has a part of the answer already.
 	Begun bool
-	// From is the number of stream events that the caller has already.
-	From int
+	// From is the number of stream events that the caller has already, After
+	// the name of the last of them.
+	From  int
+	After string
 	// Resume continues the stream at the engine that has begun it.
 	Resume bool
-	// IdleTimeout ends an answer that makes no progress.
+	// ReadOnly has the prompt read and kept under a handle.
+	ReadOnly bool
+	// Source has the prompt already; its zero value means that none has.
+	Source carrier.Handle
+	// Fetch is the address of an engine from whose cache the beginning of the
+	// prompt can be copied; empty means none.
+	Fetch string
+	// IdleTimeout ends an answer that makes no progress; 0 means none.
 	IdleTimeout time.Duration
+	// FirstTimeout ends an attempt that has no first event, or no head of
+	// another answer, by then; 0 means none.
+	FirstTimeout time.Duration
+	// OnFirst is called when the first piece of a good answer has come.
+	OnFirst func()
 }
 
 // Report says how far an attempt came.
@@ -81,21 +119,42 @@
 	Begun bool
 	// Status is the status of the answer that was begun.
 	Status int
-	// Events is the number of stream events that are done with in all.
+	// Events is the number of stream events that are done with in all, Last
+	// the name of the last one.
 	Events int
+	Last   string
 	Usage  carrier.Usage
-}
-
-// hiddenHeaders are never passed to an endpoint: the credentials of the caller
-// and what concerns the caller's connection only.
-var hiddenHeaders = []string{
-	"Authorization", "Cookie", "Proxy-Authorization", "Connection", "Keep-Alive", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Accept-Encoding",
-	"Foxtailflow-Timeout",
+	// Load is the endpoint's own account of its load, where Loaded.
+	Load   carrier.Load
+	Loaded bool
+	// Held is a whole answer by which the endpoint failed the request; it was
+	// not passed on.
+	Held carrier.Answer
+	// Sent and Head are when the request left and the head of its answer came.
+	Sent time.Time
+	Head time.Time
 }
 
 // Forward makes the attempt.
 func (f Forwarder) Forward(ctx context.Context, a Attempt, reply carrier.Reply) Report {
+	rep, _ := f.run(ctx, a, func(ctx context.Context, x *relay) error { return x.pass(ctx, reply) })
+	return rep
+}
+
+// Read has an endpoint read the prompt of a request and keep it.
+func (f Forwarder) Read(ctx context.Context, a Attempt) (carrier.Handle, Report) {
+	a.ReadOnly = true
+	var h carrier.Handle
+	rep, _ := f.run(ctx, a, func(ctx context.Context, x *relay) (err error) {
+		h, err = x.handle(ctx)
+		return err
+	})
+	h.Address = a.Address
+	return h, rep
+}
+
+// run sends the request, checks the head of the answer and takes the answer.
+func (f Forwarder) run(ctx context.Context, a Attempt, take func(context.Context, *relay) error) (Report, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	state := &keeper.Cell[attempter.Attempt]{Rank: keeper.RankAttempts}
@@ -103,8 +162,14 @@
 		state.Update(func(at attempter.Attempt) (attempter.Attempt, bool) { return at.With(e), true })
 	}
 	state.Update(func(attempter.Attempt) (attempter.Attempt, bool) { return a.Start, true })
-	rep := Report{Begun: a.Begun, Events: a.From}
-	err := f.forward(traced(ctx, note), cancel, note, a, reply, &rep)
+	rep := Report{Begun: a.Begun, Events: a.From, Last: a.After}
+	x := &relay{forwarder: f, attempt: a, report: &rep, note: note, watch: watchdog{clock: f.Clock, cancel: cancel}}
+	defer x.watch.stop()
+	err := x.send(ctx)
+	if err == nil {
+		err = take(ctx, x)
+		x.close()
+	}
 	var refusal refusedError
 	switch {
 	case err == nil:
@@ -115,162 +180,62 @@
 		note(attempter.Failed{Err: err})
 	}
 	rep.Attempt = state.Get()
-	return rep
+	return rep, err
 }
 
 // refusedError is an endpoint's own statement that it has not begun.
 type refusedError struct{ error }
 
-// traced reports what happens on the connection as events.
-func traced(ctx context.Context, note func(attempter.Event)) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// From here on a byte may leave, whatever error follows.
-		GotConn: func(httptrace.GotConnInfo) { note(attempter.SendBegan{}) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil {
-				note(attempter.SendEnded{})
-			}
-		},
-	})
-}
-
-func (f Forwarder) forward(ctx context.Context, cancel context.CancelCauseFunc, note func(attempter.Event), a Attempt, reply carrier.Reply, rep *Report) error {
-	req, err := f.build(ctx, a)
-	if err != nil {
-		return err
-	}
-	transport := f.Fresh
-	if a.Request.MayRepeat() {
-		transport = f.Shared
-	}
-	resp, err := transport.RoundTrip(req)
+// send sends the request and checks the head of the answer.
+func (x *relay) send(ctx context.Context) error {
+	f, a := x.forwarder, x.attempt
+	m, err := f.Dialect.Encode(a, a.Request.Deadline.Sub(f.Clock.Now()))
 	if err != nil {
-		return attemptFailure(ctx, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	note(attempter.AnswerBegan{})
-	if err := checkAnswer(a, resp); err != nil {
 		return err
 	}
-	watch := newWatchdog(f.Clock, a.IdleTimeout, cancel)
-	defer watch.stop()
-	r := relay{attempt: a, reply: reply, report: rep, watch: watch}
-	if isStream(resp) && a.Request.Route.Kind == definer.Model {
-		return r.events(ctx, resp)
-	}
-	return r.whole(ctx, resp)
-}
-
-func (f Forwarder) build(ctx context.Context, a Attempt) (*http.Request, error) {
-	if a.Resume {
-		return f.buildResume(ctx, a)
-	}
-	r := a.Request
-	var body io.Reader = bytes.NewReader(r.Body.Bytes)
-	if r.Body.Stream != nil {
-		body = r.Body.Stream
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Address+r.Target, body)
-	if err != nil {
-		return nil, coder.Refuse(coder.MalformedHeader, "the request cannot be passed on").WithCause(err)
-	}
-	// The transport must not repeat a request on its own.
-	req.GetBody = nil
-	req.ContentLength = r.Body.Length
-	if r.Body.Stream == nil && len(r.Body.Bytes) == 0 {
-		req.Body = http.NoBody
-	}
-	for name, values := range r.Header {
-		if !slices.Contains(hiddenHeaders, name) && !strings.HasPrefix(name, "Engine-") {
-			req.Header[name] = values
-		}
-	}
-	req.Header.Set("Foxtailflow-Request-Id", r.ID)
-	if r.Route.Kind == definer.Model {
-		req.Header.Set(speaker.HeaderRequestID, r.ID)
-		req.Header.Set(speaker.HeaderPriority, strconv.Itoa(r.Route.Priority))
-	}
-	req.Header.Set(speaker.HeaderDeadline, f.timeLeft(r))
-	if a.From > 0 {
-		req.Header.Set(speaker.HeaderResumeFrom, strconv.Itoa(a.From))
-	}
-	return req, nil
-}
-
-// buildResume asks the engine that has begun a stream to go on with it.
-func (f Forwarder) buildResume(ctx context.Context, a Attempt) (*http.Request, error) {
-	target := "http://" + a.Address + speaker.ResumePath(a.Request.ID, a.From)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, http.NoBody)
+	x.watch.start(a.FirstTimeout, errLate)
+	answer, err := f.Linker.Send(ctx, a.Address, m, linker.Options{
+		Connections: a.Connections,
+		OnSend: func() {
+			x.report.Sent = f.Clock.Now()
+			x.note(attempter.SendBegan{})
+		},
+		Accept: func(status int, h http.Header) bool {
+			return f.Dialect.Belongs(a.Request, carrier.Head{Status: status, Header: carrier.Header(h)})
+		},
+	})
 	if err != nil {
-		return nil, coder.Refuse(coder.EndpointUnreachable, "malformed endpoint address %q", a.Address).WithCause(err)
+		return sendFailure(ctx, err)
 	}
-	req.Header.Set(speaker.HeaderRequestID, a.Request.ID)
-	req.Header.Set(speaker.HeaderDeadline, f.timeLeft(a.Request))
-	return req, nil
-}
-
-func (f Forwarder) timeLeft(r carrier.Request) string {
-	return strconv.FormatInt(max(r.Deadline.Sub(f.Clock.Now()).Milliseconds(), 1), 10)
-}
-
-// checkAnswer refuses, by its header, an answer that must not be passed on.
-func checkAnswer(a Attempt, resp *http.Response) error {
-	if err := checkIdentity(a.Request, resp.Header); err != nil {
-		return err
-	}
-	if refused(resp) {
-		return refusedError{coder.Refuse(coder.EndpointRefused, "endpoint %s refused the request: not run", a.Address)}
+	x.note(attempter.AnswerBegan{})
+	x.report.Head = f.Clock.Now()
+	x.answer = answer
+	x.head = carrier.Head{
+		Status:      answer.Status,
+		Header:      carrier.Header(answer.Header),
+		Undelimited: !answer.Delimited && m.Method != http.MethodHead,
 	}
-	if a.From > 0 || a.Begun {
-		return checkContinued(a, resp)
-	}
-	return nil
-}
-
-// checkContinued refuses an answer that does not go on where the caller is: an
-// engine that does not know how to would begin again.
-func checkContinued(a Attempt, resp *http.Response) error {
-	from := resp.Header.Get(speaker.HeaderResumeFrom)
-	if resp.StatusCode != http.StatusOK || !isStream(resp) || from != strconv.Itoa(a.From) {
-		return coder.New(coder.EndpointFailed, "endpoint %s does not continue the stream after %d events", a.Address, a.From)
+	x.report.Load, x.report.Loaded = f.Dialect.Load(x.head)
+	err = f.Dialect.Check(a, x.head)
+	if err == nil {
+		return nil
 	}
-	return nil
-}
-
-// checkIdentity refuses the answer to another request.
-func checkIdentity(r carrier.Request, h http.Header) error {
-	for _, name := range []string{speaker.HeaderRequestID, "Foxtailflow-Request-Id"} {
-		if id := h.Get(name); id != "" && id != r.ID {
-			return coder.New(coder.AnswerCrossed, "the answer belongs to request %s", id)
-		}
+	x.discard()
+	if coder.Of(err).Outcome() == coder.NotRun {
+		return refusedError{err}
 	}
-	return nil
-}
-
-// refused reports whether the endpoint itself says that it has not begun.
-func refused(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Foxtailflow-Outcome") == coder.NotRun.String()
-}
-
-func isStream(resp *http.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return err
 }
 
-// attemptFailure names the failure of an attempt without an answer.
-func attemptFailure(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		err = cause
-	}
+// sendFailure names the failure of an attempt without an answer.
+func sendFailure(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
 	var known coder.Error
-	var op *net.OpError
 	switch {
-	case errors.As(err, &known):
-		// The caller's body failed on its way.
-		return known.WithOutcome(coder.Unknown)
+	case cause != nil && errors.As(cause, &known):
+		return known.WithOutcome(coder.Of(err).Outcome())
 	case errors.Is(err, context.DeadlineExceeded):
 		return coder.Wrap(coder.DeadlinePassed, err, "the deadline has passed")
-	case errors.As(err, &op) && op.Op == "dial":
-		return coder.Wrap(coder.EndpointUnreachable, err, "the endpoint cannot be reached")
 	}
-	return coder.Wrap(coder.EndpointFailed, err, "the endpoint did not answer")
+	return err
 }
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -1,8 +1,7 @@
 // Package retrier bounds what retries cost the endpoints.
 //
 // A retry helps one request and loads endpoints that may be failing already.
-// So retries are limited to a share of the requests of a route and client
-// account, wait longer each time, and never outlast the deadline. The package is
+// So retries are limited to a share of the requests of a deployment, wait longer each time, and never outlast the deadline. The package is
 // pure: values go in, decisions come out.
 package retrier
 
@@ -10,12 +9,12 @@
 	"time"
 )
 
-// Reserve is the number of retries that a bucket starts with and can hold. An
-// account with few requests can so retry at all, and the streams that one lost
-// endpoint had from one node can be resumed elsewhere.
+// Reserve is the number of retries that a bucket holds where its rule names
+// none. A deployment with few requests can so retry at all, and the streams that
+// one lost endpoint had from one node can be resumed elsewhere.
 const Reserve = 32
 
-// Bucket is the retry budget of one route and client account.
+// Bucket is the retry budget of one deployment.
 //
 // It is an immutable value; the zero value is full.
 type Bucket struct {
@@ -30,9 +29,9 @@
 }
 
 // WithRetry returns a copy from which a retry was taken, and whether there was
-// enough for it.
-func (b Bucket) WithRetry() (Bucket, bool) {
-	if b.spent+1 > Reserve {
+// enough for it in a bucket that holds the given number.
+func (b Bucket) WithRetry(reserve float64) (Bucket, bool) {
+	if b.spent+1 > reserve {
 		return b, false
 	}
 	b.spent++
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -43,7 +43,7 @@
 				continue
 			}
 			var ok bool
-			if b, ok = b.WithRetry(); ok {
+			if b, ok = b.WithRetry(retrier.Reserve); ok {
 				retries++
 			}
 		}
--- /dev/null
+++ b/internal/store/follower/follower.go
@@ -0,0 +1,238 @@
+// Package follower keeps the newest content of a table on a node.
+//
+// A node watches the table and takes each change into an immutable snapshot. A
+// watch can stay silent although the table has changed, and the store can be
+// away for this node only. So a watch is never open for long, the whole table
+// is read again where the history has gaps, and a snapshot of a peer is taken
+// where it is newer. The content never goes back to an older version.
+package follower
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// Snapshot is the content of a table at a version.
+//
+// It is an immutable value.
+type Snapshot struct {
+	// Version is the newest version of the store that the content reflects.
+	Version uint64
+	// Changed is the version of the newest row, deletions included.
+	Changed uint64
+	rows    map[string]transactor.Row
+	// ConfirmedAt is when the store last confirmed the content.
+	ConfirmedAt time.Time
+	// AwaySince is when the store last stopped to answer this node, BackSince
+	// when it answered again; both are zero where it never was away.
+	AwaySince time.Time
+	BackSince time.Time
+}
+
+// Loaded reports whether the table was ever read.
+func (s Snapshot) Loaded() bool { return s.rows != nil }
+
+// Away reports whether the store does not answer at present.
+func (s Snapshot) Away() bool { return s.AwaySince.After(s.BackSince) }
+
+// Get returns a row.
+func (s Snapshot) Get(key string) (transactor.Row, bool) {
+	r, ok := s.rows[key]
+	return r, ok
+}
+
+// Rows returns the rows in the order of their keys.
+func (s Snapshot) Rows() []transactor.Row {
+	rows := slices.Collect(maps.Values(s.rows))
+	slices.SortFunc(rows, func(a, b transactor.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// withAll returns a snapshot with other content.
+func (s Snapshot) withAll(c transactor.Changes) Snapshot {
+	before := s.rows
+	s.rows = make(map[string]transactor.Row, len(c.Rows))
+	same := len(before) == len(c.Rows)
+	for _, r := range c.Rows {
+		s.rows[r.Key] = r
+		s.Changed = max(s.Changed, r.Version)
+		same = same && before[r.Key].Version == r.Version
+	}
+	s.Version = max(s.Version, c.Version)
+	if before != nil && !same {
+		// A row that is gone has left no version.
+		s.Changed = s.Version
+	}
+	return s
+}
+
+// withChanges returns a snapshot with changes applied.
+func (s Snapshot) withChanges(c transactor.Changes) Snapshot {
+	if len(c.Rows) == 0 {
+		return s
+	}
+	s.rows = maps.Clone(s.rows)
+	for _, r := range c.Rows {
+		if old, ok := s.rows[r.Key]; ok && old.Version > r.Version {
+			continue
+		}
+		if r.Deleted {
+			delete(s.rows, r.Key)
+		} else {
+			s.rows[r.Key] = r
+		}
+		s.Changed = max(s.Changed, r.Version)
+	}
+	s.Version = max(s.Version, s.Changed)
+	return s
+}
+
+// Peers are a second source beside the store.
+type Peers interface {
+	// Newer returns a snapshot of a peer that has rows newer than a version;
+	// false means that no peer has any.
+	Newer(ctx context.Context, prefix string, changed uint64) (Snapshot, bool)
+}
+
+// Follower follows the rows with one prefix.
+type Follower struct {
+	Clock  timekeeper.Clock
+	Log    zerolog.Logger
+	Feed   transactor.Feed
+	Prefix string
+	// Wait is how long one watch is open.
+	Wait time.Duration
+	// Refresh is the time after which the whole table is read again.
+	Refresh time.Duration
+	// Retry is the delay after a call that failed.
+	Retry time.Duration
+	// Peers may be nil.
+	Peers Peers
+	// OnChange is called after each change, from one goroutine at a time.
+	OnChange func(Snapshot)
+
+	state keeper.Cell[Snapshot]
+	// read is when the whole table was last read.
+	read time.Time
+}
+
+// Snapshot returns the newest content.
+func (f *Follower) Snapshot() Snapshot { return f.state.Get() }
+
+// Run follows the table until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.failed(ctx, err)
+		}
+	}
+}
+
+// step reads the table once, or waits once for a change.
+func (f *Follower) step(ctx context.Context) error {
+	s := f.state.Get()
+	now := f.Clock.Now()
+	if !s.Loaded() || f.read.IsZero() || now.Sub(f.read) >= f.Refresh {
+		c, err := f.Feed.Read(ctx, f.Prefix)
+		if err != nil {
+			return err
+		}
+		f.read = now
+		f.take(func(s Snapshot) Snapshot {
+			if c.Version < s.Version {
+				return s
+			}
+			return s.withAll(c)
+		})
+		return nil
+	}
+	c, err := f.Feed.Watch(ctx, f.Prefix, s.Version, f.Wait)
+	if coder.Is(err, coder.HistoryGone) {
+		f.read = time.Time{}
+		f.Log.Info().Str("table", f.Prefix).Uint64("version", s.Version).Msg("history gone; the table is read again")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	// Rows, and not the version of an answer without any, say how far the
+	// content is complete: a watch may have missed changes.
+	f.take(func(s Snapshot) Snapshot { return s.withChanges(c) })
+	return nil
+}
+
+// take stores what the store has told.
+func (f *Follower) take(change func(Snapshot) Snapshot) {
+	now := f.Clock.Now()
+	f.store(func(s Snapshot) Snapshot {
+		if s.Away() {
+			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.AwaySince)).Msg("store answers again")
+			s.BackSince = now
+		}
+		s.ConfirmedAt = now
+		return change(s)
+	})
+}
+
+func (f *Follower) store(change func(Snapshot) Snapshot) {
+	var before, after Snapshot
+	f.state.Update(func(s Snapshot) (Snapshot, bool) {
+		before, after = s, change(s)
+		return after, true
+	})
+	if f.OnChange != nil && (after.Changed != before.Changed || after.Loaded() != before.Loaded() || after.BackSince != before.BackSince) {
+		f.OnChange(after)
+	}
+}
+
+// failed notes that the store did not answer, takes what peers have, and waits.
+func (f *Follower) failed(ctx context.Context, err error) {
+	now := f.Clock.Now()
+	f.store(func(s Snapshot) Snapshot {
+		if !s.Away() {
+			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store does not answer")
+			s.AwaySince = now
+			if s.BackSince.Equal(now) {
+				s.AwaySince = now.Add(1)
+			}
+		}
+		return s
+	})
+	f.askPeers(ctx)
+	_ = f.Clock.Sleep(ctx, f.Retry)
+}
+
+// askPeers takes the content of a peer where it is newer.
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.Peers == nil {
+		return
+	}
+	have := f.state.Get()
+	got, ok := f.Peers.Newer(ctx, f.Prefix, have.Changed)
+	if !ok || got.Changed <= have.Changed {
+		return
+	}
+	f.Log.Info().Str("table", f.Prefix).Uint64("version", got.Changed).Uint64("before", have.Changed).Msg("content taken from a peer")
+	f.store(func(s Snapshot) Snapshot {
+		if got.Changed <= s.Changed {
+			return s
+		}
+		s.rows, s.Changed, s.Version = got.rows, got.Changed, max(s.Version, got.Version)
+		return s
+	})
+}
+
+// NewSnapshot returns the content that a peer has sent.
+func NewSnapshot(version uint64, rows []transactor.Row) Snapshot {
+	return Snapshot{}.withAll(transactor.Changes{Rows: rows, Version: version})
+}
--- a/internal/store/transactor/table.go
+++ b/internal/store/transactor/table.go
@@ -10,7 +10,10 @@
 // that the call had no effect.
 package transactor
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is one row of the table.
 type Row struct {
@@ -18,6 +21,9 @@
 	Value []byte
 	// Version is the number of the commit that last wrote the row, from 1.
 	Version uint64
+	// Deleted says that the commit has deleted the row; only changes have such
+	// rows.
+	Deleted bool
 }
 
 // Check is a condition of a transaction: the row has this version.
@@ -88,6 +94,25 @@
 	Commit(ctx context.Context, tx Tx) (uint64, error)
 }
 
+// Changes are rows in the order of their versions.
+type Changes struct {
+	Rows []Row
+	// Version is the newest version that the store had.
+	Version uint64
+	// Clock is a reading of the store's steady clock.
+	Clock time.Duration
+}
+
+// Feed tells what has changed in the table.
+type Feed interface {
+	// Read returns all rows whose key has the prefix.
+	Read(ctx context.Context, prefix string) (Changes, error)
+	// Watch returns the rows with the prefix that have changed after a version.
+	// It waits for one, but not longer than the given time.
+	// HistoryGone: the store does not have all changes after the version.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+}
+
 // Objects is the object store.
 type Objects interface {
 	// Put stores an object under a new name; ObjectExists if the name is taken.
