member, decision: hubs, and where prompts are read

Nodes of a data centre join a hub that spreads what each has at the engines, which beginnings engines have read, and the tables of the store; a prompt is read by the engine that has to read least of it, by estimate, and answered by another.

Usage is not reported and roles are not changed yet.

--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -25,6 +25,8 @@
 	FieldDeployment = "deployment"
 	FieldChosen     = "chosen"
 	FieldReason     = "reason"
+	FieldReader     = "reader"
+	FieldFetch      = "fetch"
 	FieldRejected   = "rejected"
 	FieldCode       = "code"
 	FieldRetry      = "retry-after"
@@ -61,6 +63,28 @@
 		Array(FieldRejected, rejected).Msg("endpoint chosen")
 }
 
+// LogPlan writes the line of the choice of the engines that read a prompt and
+// answer it.
+func LogPlan(log zerolog.Logger, requestID, account, deployment string, p picker.Plan) {
+	line := log.Info()
+	if !line.Enabled() {
+		return
+	}
+	chosen, reason := "", "no engine is fit"
+	if p.Run.OK {
+		chosen, reason = p.Run.Endpoint.ID, p.Run.Reason
+	}
+	line = line.Str(FieldDecision, Routing).Str(FieldRequest, requestID).Str(FieldAccount, account).
+		Str(FieldDeployment, deployment).Str(FieldChosen, chosen).Str(FieldReason, reason)
+	if p.Read.OK {
+		line = line.Str(FieldReader, p.Read.Endpoint.ID)
+	}
+	if p.Fetch != "" {
+		line = line.Str(FieldFetch, p.Fetch)
+	}
+	line.Msg("endpoint chosen")
+}
+
 // LogRefusal writes the line of a request that was not admitted.
 func LogRefusal(log zerolog.Logger, requestID, account, deployment string, f coder.Error) {
 	log.Info().Str(FieldDecision, Admission).Str(FieldRequest, requestID).Str(FieldAccount, account).
--- a/internal/decision/indexer/index.go
+++ b/internal/decision/indexer/index.go
@@ -10,6 +10,7 @@
 
 import (
 	"sync"
+	"time"
 )
 
 // Events are the changes of one engine's cache, numbered without gaps.
@@ -22,9 +23,9 @@
 }
 
 const (
-	// perEntry is how many holders of one beginning are kept: more do not help
-	// a choice, which tries them one after the other.
-	perEntry = 3
+	// perEntry is how many holders of one beginning are kept: one for each data
+	// centre of a region, with some to spare.
+	perEntry = 6
 	// DefaultLimit bounds the entries of one node, about 7 MB.
 	DefaultLimit = 1 << 16
 )
@@ -33,6 +34,16 @@
 type holder struct {
 	engine     uint32
 	generation uint32
+	// used is when the engine last worked on the beginning, in Unix milliseconds;
+	// 0 where that is not known.
+	used int64
+}
+
+// Holding is an endpoint that probably holds a beginning.
+type Holding struct {
+	Endpoint string
+	// Length is the number of the chain's hashes that it holds.
+	Length int
 }
 
 type entry struct {
@@ -65,7 +76,45 @@
 func (x *Index) Store(endpoint string, chain []uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.store(x.number(endpoint), chain)
+	x.store(x.number(endpoint), chain, 0)
+}
+
+// StoreAt notes that an endpoint worked on these beginnings at a time.
+func (x *Index) StoreAt(endpoint string, chain []uint64, at time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.store(x.number(endpoint), chain, at.UnixMilli())
+}
+
+// Holdings appends to dst the endpoints that have worked on a beginning since a
+// time, those with the longest first.
+func (x *Index) Holdings(dst []Holding, chain []uint64, since time.Time) []Holding {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	oldest := since.UnixMilli()
+	for i := len(chain) - 1; i >= 0; i-- {
+		e, ok := x.entries[chain[i]]
+		if !ok {
+			continue
+		}
+		for _, h := range e.holders[:e.used] {
+			known := x.engines[h.engine]
+			if known.generation != h.generation || h.used < oldest || holds(dst, known.name) {
+				continue
+			}
+			dst = append(dst, Holding{Endpoint: known.name, Length: i + 1})
+		}
+	}
+	return dst
+}
+
+func holds(hs []Holding, name string) bool {
+	for _, h := range hs {
+		if h.Endpoint == name {
+			return true
+		}
+	}
+	return false
 }
 
 // Apply takes cache events; after a gap the endpoint's entries are cleared.
@@ -85,7 +134,7 @@
 	for _, h := range ev.Removed {
 		x.remove(n, h)
 	}
-	x.store(n, ev.Stored)
+	x.store(n, ev.Stored, 0)
 }
 
 // Clear forgets what an endpoint holds, as after its restart.
@@ -170,8 +219,8 @@
 	return n
 }
 
-func (x *Index) store(n uint32, chain []uint64) {
-	h := holder{engine: n, generation: x.engines[n].generation}
+func (x *Index) store(n uint32, chain []uint64, used int64) {
+	h := holder{engine: n, generation: x.engines[n].generation, used: used}
 	for _, hash := range chain {
 		e, ok := x.entries[hash]
 		if !ok {
@@ -185,7 +234,11 @@
 func (x *Index) with(e entry, h holder) entry {
 	out := entry{holders: [perEntry]holder{h}, used: 1}
 	for _, o := range e.holders[:e.used] {
-		if o.engine != h.engine && x.engines[o.engine].generation == o.generation && out.used < perEntry {
+		if o.engine == h.engine {
+			out.holders[0].used = max(h.used, o.used)
+			continue
+		}
+		if x.engines[o.engine].generation == o.generation && out.used < perEntry {
 			out.holders[out.used] = o
 			out.used++
 		}
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -42,6 +42,15 @@
 	Changing bool
 }
 
+// Elsewhere is what the other nodes have in progress at an endpoint.
+type Elsewhere struct {
+	// At is when this node heard of it.
+	At time.Time
+	// Reading is the prompt tokens that are still to be read.
+	Reading  int
+	Requests int
+}
+
 // sample is what this node had in progress at an endpoint at one time.
 type sample struct {
 	at   time.Time
@@ -79,8 +88,9 @@
 	Connections int
 	// Sent is the number of requests of this node in progress.
 	Sent int
-	// SentWork is the work of those requests, in tokens.
-	SentWork int
+	// SentWork is the prompt tokens of those requests that are still to be read.
+	SentWork  int
+	Elsewhere Elsewhere
 	// base is what was in progress when the report was made.
 	base sample
 	past [samples]sample
@@ -129,6 +139,12 @@
 	return e
 }
 
+// WithRead returns a copy with the given work done and its request in progress.
+func (e Endpoint) WithRead(work int) Endpoint {
+	e.SentWork -= work
+	return e
+}
+
 // WithDone returns a copy with one request of the given work less.
 func (e Endpoint) WithDone(work int) Endpoint {
 	e.Sent--
@@ -155,6 +171,12 @@
 	return e
 }
 
+// WithElsewhere returns a copy with what the other nodes have in progress.
+func (e Endpoint) WithElsewhere(o Elsewhere) Endpoint {
+	e.Elsewhere = o
+	return e
+}
+
 // WithLeaving returns a copy that is leaving or not.
 func (e Endpoint) WithLeaving(leaving bool) Endpoint {
 	e.Leaving = leaving
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -136,6 +136,11 @@
 	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithSent(work) })
 }
 
+// Read notes that an endpoint has read the prompt of a request.
+func (o *Observer) Read(id string, work int) {
+	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithRead(work) })
+}
+
 // Done notes the end of a request and what that tells of the endpoint.
 func (o *Observer) Done(id string, work int, sign picker.Sign, rule definer.Rule) {
 	now := o.Clock.Now()
@@ -174,6 +179,13 @@
 	})
 }
 
+// SetElsewhere notes what the other nodes have in progress at an endpoint.
+func (o *Observer) SetElsewhere(id string, reading, requests int, at time.Time) {
+	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
+		return e.WithElsewhere(picker.Elsewhere{At: at, Reading: reading, Requests: requests}), ok
+	})
+}
+
 // ejectedShare is the divisor of the endpoints that may be ejected at once: a
 // fault that hits all endpoints must not take a deployment out of service.
 const ejectedShare = 3
--- /dev/null
+++ b/internal/inner/courier/codec.go
@@ -0,0 +1,127 @@
+package courier
+
+import (
+	"math"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// mapped returns a slice with each element converted.
+func mapped[A, B any](as []A, convert func(A) B) []B {
+	if len(as) == 0 {
+		return nil
+	}
+	bs := make([]B, len(as))
+	for i, a := range as {
+		bs[i] = convert(a)
+	}
+	return bs
+}
+
+// count returns n as it goes over the wire.
+func count(n int) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
+
+func milliseconds(d time.Duration) uint32 { return count(int(d.Milliseconds())) }
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func encodeStatement(s Statement) *StatementMessage {
+	return &StatementMessage{
+		Node:        s.Node,
+		Incarnation: s.Incarnation,
+		DataCentre:  s.DataCentre,
+		Number:      s.Number,
+		Hub:         s.Hub,
+		Nodes:       count(s.Nodes),
+		Engines:     mapped(s.Engines, encodeEngine),
+		Beginnings:  mapped(s.Beginnings, encodeBeginning),
+		Usage:       mapped(s.Usage, encodeUsage),
+	}
+}
+
+func decodeStatement(m *StatementMessage) Statement {
+	return Statement{
+		Node:        m.GetNode(),
+		Incarnation: m.GetIncarnation(),
+		DataCentre:  m.GetDataCentre(),
+		Number:      m.GetNumber(),
+		Hub:         m.GetHub(),
+		Nodes:       int(m.GetNodes()),
+		Engines:     mapped(m.GetEngines(), decodeEngine),
+		Beginnings:  mapped(m.GetBeginnings(), decodeBeginning),
+		Usage:       mapped(m.GetUsage(), decodeUsage),
+	}
+}
+
+func encodeSummary(s Summary) *SummaryMessage {
+	return &SummaryMessage{
+		Number:     s.Number,
+		Nodes:      count(s.Nodes),
+		Engines:    mapped(s.Engines, encodeEngine),
+		Beginnings: mapped(s.Beginnings, encodeBeginning),
+	}
+}
+
+func decodeSummary(m *SummaryMessage) Summary {
+	return Summary{
+		Number:     m.GetNumber(),
+		Nodes:      int(m.GetNodes()),
+		Engines:    mapped(m.GetEngines(), decodeEngine),
+		Beginnings: mapped(m.GetBeginnings(), decodeBeginning),
+	}
+}
+
+func encodeEngine(e EngineWork) *EngineMessage {
+	return &EngineMessage{Engine: uint32(e.Engine), Reading: count(e.Reading), Requests: count(e.Requests)}
+}
+
+func decodeEngine(m *EngineMessage) EngineWork {
+	return EngineWork{Engine: Engine(m.GetEngine()), Reading: int(m.GetReading()), Requests: int(m.GetRequests())}
+}
+
+func encodeBeginning(b Beginning) *BeginningMessage {
+	return &BeginningMessage{Engine: uint32(b.Engine), Keys: b.Keys, AgeMs: milliseconds(b.Age)}
+}
+
+func decodeBeginning(m *BeginningMessage) Beginning {
+	return Beginning{Engine: Engine(m.GetEngine()), Keys: m.GetKeys(), Age: duration(m.GetAgeMs())}
+}
+
+func encodeUsage(u NodeUsage) *UsageMessage {
+	return &UsageMessage{Node: u.Node, Window: u.Window, Counts: mapped(u.Counts, func(c AccountCount) *CountMessage {
+		return &CountMessage{Account: c.Account, Requests: count(c.Requests)}
+	})}
+}
+
+func decodeUsage(m *UsageMessage) NodeUsage {
+	return NodeUsage{Node: m.GetNode(), Window: m.GetWindow(), Counts: mapped(m.GetCounts(), func(c *CountMessage) AccountCount {
+		return AccountCount{Account: c.GetAccount(), Requests: int(c.GetRequests())}
+	})}
+}
+
+func encodeContent(c Content) *ContentMessage {
+	return &ContentMessage{
+		Whole:   c.Whole,
+		Version: c.Version,
+		Changed: c.Changed,
+		Rows: mapped(c.Rows, func(r transactor.Row) *RowMessage {
+			return &RowMessage{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+		}),
+		AgeMs:  milliseconds(c.Age),
+		BackMs: milliseconds(c.Back),
+	}
+}
+
+func decodeContent(m *ContentMessage) Content {
+	return Content{
+		Whole:   m.GetWhole(),
+		Version: m.GetVersion(),
+		Changed: m.GetChanged(),
+		Rows: mapped(m.GetRows(), func(r *RowMessage) transactor.Row {
+			return transactor.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()}
+		}),
+		Age:  duration(m.GetAgeMs()),
+		Back: duration(m.GetBackMs()),
+	}
+}
--- /dev/null
+++ b/internal/inner/courier/courier.go
@@ -0,0 +1,98 @@
+// Package courier is the protocol between the nodes.
+//
+// A node joins a hub and exchanges statements for summaries: what it has at the
+// engines, which beginnings of prompts they have read for it, and how many
+// requests of each client account it has begun. A node can also follow a table
+// of the store through another node. Ages are sent in place of times, so that
+// clocks need not agree. The types here are plain values; the generated wire
+// types do not leave this package.
+package courier
+
+import (
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// Engine names an engine by the hash of its identifier.
+type Engine uint32
+
+// EngineOf returns the short name of an engine.
+func EngineOf(id string) Engine {
+	h := uint32(offset32)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * prime32
+	}
+	return Engine(h)
+}
+
+// The constants of the 32-bit FNV-1a hash.
+const (
+	offset32 = 2166136261
+	prime32  = 16777619
+)
+
+// EngineWork is what nodes have in progress at an engine.
+type EngineWork struct {
+	Engine Engine
+	// Reading is the prompt tokens that are still to be read.
+	Reading  int
+	Requests int
+}
+
+// Beginning says that an engine has worked on beginnings of prompts.
+type Beginning struct {
+	Engine Engine
+	Keys   []uint64
+	Age    time.Duration
+}
+
+// NodeUsage is how many requests of each client account a node has begun in a
+// window.
+type NodeUsage struct {
+	// Node names one start of a node.
+	Node   string
+	Window int64
+	Counts []AccountCount
+}
+
+// AccountCount is a number of requests of a client account.
+type AccountCount struct {
+	Account  string
+	Requests int
+}
+
+// Statement is what a node states, or a hub for the nodes that have joined it.
+type Statement struct {
+	Node        string
+	Incarnation uint64
+	DataCentre  string
+	Number      uint64
+	Hub         bool
+	// Nodes is the number of nodes that the statement is for.
+	Nodes      int
+	Engines    []EngineWork
+	Beginnings []Beginning
+	Usage      []NodeUsage
+}
+
+// Summary is what a hub knows beside the statements of the receiver.
+type Summary struct {
+	// Number is that of the receiver's statement which the summary answers.
+	Number     uint64
+	Nodes      int
+	Engines    []EngineWork
+	Beginnings []Beginning
+}
+
+// Content is the content of a table, or its changes since what was sent before.
+type Content struct {
+	Whole   bool
+	Version uint64
+	Changed uint64
+	Rows    []transactor.Row
+	// Age is how long ago the store has confirmed the content, Back how long ago
+	// it was back after it did not answer; 0 if it always has.
+	Age  time.Duration
+	Back time.Duration
+}
--- /dev/null
+++ b/internal/member/collector/news.go
@@ -0,0 +1,47 @@
+package collector
+
+import (
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+)
+
+// item is a beginning that an engine has worked on.
+type item struct {
+	// origin is the node that has sent the request, or the hub that told of it.
+	origin string
+	// local says that the origin is a node of this data centre.
+	local  bool
+	at     time.Time
+	engine courier.Engine
+	keys   []uint64
+}
+
+// news keeps the last items in the order of their arrival; each has a place
+// that counts from 1.
+type news struct {
+	items [newsLimit]item
+	last  uint64
+}
+
+// newsLimit bounds the items that are kept: those of some seconds.
+const newsLimit = 512
+
+func (n *news) add(it item) {
+	n.last++
+	n.items[n.last%newsLimit] = it
+}
+
+// since returns the items after a place that pass the filter, with their ages.
+func (n *news) since(place uint64, now time.Time, pass func(item) bool) []courier.Beginning {
+	if n.last > newsLimit {
+		place = max(place, n.last-newsLimit)
+	}
+	var out []courier.Beginning
+	for p := place + 1; p <= n.last; p++ {
+		if it := n.items[p%newsLimit]; pass(it) && now.Sub(it.at) < newsLife {
+			out = append(out, courier.Beginning{Engine: it.engine, Keys: it.keys, Age: now.Sub(it.at)})
+		}
+	}
+	return out
+}
--- a/internal/node/assembler/decisions.go
+++ b/internal/node/assembler/decisions.go
@@ -26,7 +26,7 @@
 	index := &indexer.Index{}
 	n.observer.OnGone = index.Forget
 	n.observer.ReportLag = reportLag
-	n.chooser = chooser.Chooser{Clock: n.clock, Log: n.log, DataCentre: n.settings.DataCentre, Observer: n.observer, Index: index, Limits: n.limits}
+	n.chooser = chooser.Chooser{Clock: n.clock, Log: n.log, DataCentre: n.settings.DataCentre, Observer: n.observer, Index: index, Limits: n.limits, Config: n.applier.Config}
 	n.queue = &queuer.Queue[*dispatcher.Job]{Clock: n.clock, Log: n.log, Configs: n.applier, Rooms: n.observer}
 	n.observer.OnRefresh = n.queue.Wake
 	return nil
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -40,9 +40,12 @@
 type Settings struct {
 	ID         string
 	DataCentre string
-	// CallersListen and ReadyListen are IP:port.
+	// CallersListen, ReadyListen and PeersListen are IP:port.
 	CallersListen string
 	ReadyListen   string
+	PeersListen   string
+	// Seeds are addresses of nodes to ask while the store cannot be reached.
+	Seeds []string
 	// Stop is the time from the signal to stop until the process is killed.
 	Stop time.Duration
 	// Lapse is how long a living endpoint takes to write its entry again.
@@ -75,6 +78,8 @@
 	ReadyPath string
 	// Links are the connections to endpoints.
 	Links *linker.Linker
+	// Dial opens connections to other nodes.
+	Dial linker.Dial
 }
 
 // Node is one process of the system.
@@ -89,9 +94,13 @@
 	config    keeper.Cell[loaded]
 	lister    *lister.Lister
 	observer  *observer.Observer
+	index     *indexer.Index
 	queue     queue
 	handler   *dispatcher.Dispatcher
+	members   members
 	stopping  atomic.Bool
+	// turn counts the nodes that were asked for tables.
+	turn atomic.Uint64
 
 	callers net.Listener
 	ready   net.Listener
@@ -121,14 +130,8 @@
 // New builds a node and opens its listeners.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, ports: p, clock: clock, log: log}
-	n.configs = &follower.Follower{
-		Clock: clock, Log: log, Feed: p.Feed, Prefix: p.ConfigKey,
-		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: n.applyConfig,
-	}
-	n.endpoints = &follower.Follower{
-		Clock: clock, Log: log, Feed: p.Feed, Prefix: p.EndpointPrefix,
-		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: n.applyEndpoints,
-	}
+	n.configs = n.follow(p.ConfigKey, n.applyConfig)
+	n.endpoints = n.follow(p.EndpointPrefix, n.applyEndpoints)
 	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, Lapse: s.Lapse}
 	n.observer = &observer.Observer{
 		Clock: clock,
@@ -137,7 +140,10 @@
 		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.buildRequests()
-	var err error
+	err := n.buildMembers()
+	if err != nil {
+		return nil, err
+	}
 	if n.callers, err = listen(s.CallersListen); err != nil {
 		return nil, err
 	}
@@ -147,6 +153,14 @@
 	return n, nil
 }
 
+// follow returns what follows a table.
+func (n *Node) follow(prefix string, apply func(follower.Snapshot)) *follower.Follower {
+	return &follower.Follower{
+		Clock: n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Relay: relay{n},
+		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
+	}
+}
+
 func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -215,8 +229,8 @@
 
 // buildRequests builds what answers requests.
 func (n *Node) buildRequests() {
-	index := &indexer.Index{}
-	n.observer.OnGone = index.Forget
+	n.index = &indexer.Index{}
+	n.observer.OnGone = n.index.Forget
 	n.queue = make(queue, queueLimit)
 	n.handler = &dispatcher.Dispatcher{
 		Clock:   n.clock,
@@ -224,7 +238,7 @@
 		Configs: n,
 		Chooser: chooser.Chooser{
 			Clock: n.clock, Log: n.log, DataCentre: n.settings.DataCentre,
-			Observer: n.observer, Index: index, Limits: n.limits,
+			Observer: n.observer, Index: n.index, Note: n.note, Limits: n.limits, Config: n.Config,
 		},
 		Endpoints: n.observer,
 		Forwarder: forwarder.Forwarder{Clock: n.clock, Linker: n.ports.Links, Dialect: n.ports.Dialect},
@@ -234,6 +248,9 @@
 	}
 }
 
+// note tells the other nodes that an engine works on beginnings.
+func (n *Node) note(engine string, keys []uint64) { n.members.collector.Note(engine, keys) }
+
 func (n *Node) limits() definer.Limits {
 	if l := n.config.Get(); l.ok {
 		return l.config.Limits()
@@ -248,6 +265,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { n.configs.Run(tasks) })
 	wg.Go(func() { n.endpoints.Run(tasks) })
+	wg.Go(func() { n.runMembers(tasks) })
 	for _, p := range n.periodic() {
 		wg.Go(func() { p.Run(tasks, n.clock, n.log) })
 	}
@@ -290,6 +308,7 @@
 func (n *Node) periodic() []runner.Periodic {
 	return []runner.Periodic{
 		{Name: "endpoint-list", Every: listEvery, Task: n.observer.RefreshList},
+		{Name: "registration", Every: registerEvery, Task: n.members.registrar.Register},
 		{Name: "connections", Every: sweepEvery, Task: n.ports.Links.Sweep},
 	}
 }
--- /dev/null
+++ b/internal/node/composer/members.go
@@ -0,0 +1,198 @@
+package composer
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/indexer"
+	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/member/collector"
+	"foxtailflow.example/foxtailflow/internal/member/registrar"
+	"foxtailflow.example/foxtailflow/internal/store/follower"
+)
+
+// members are the parts of a node that deal with the other nodes.
+type members struct {
+	registrar *registrar.Registrar
+	collector *collector.Collector
+	nodes     *follower.Follower
+	links     *courier.Links
+	listener  net.Listener
+	server    *grpc.Server
+}
+
+// registerEvery is how often a node looks whether its row stands.
+const registerEvery = time.Second
+
+func (n *Node) buildMembers() error {
+	l, err := listen(n.settings.PeersListen)
+	if err != nil {
+		return err
+	}
+	self := registrar.Node{
+		ID:          n.settings.ID,
+		Address:     n.settings.PeersListen,
+		DataCentre:  n.settings.DataCentre,
+		Incarnation: uint64(n.clock.Now().UnixNano()),
+	}
+	m := &n.members
+	m.listener = l
+	m.links = &courier.Links{Dial: courier.Dial(n.ports.Dial)}
+	m.registrar = &registrar.Registrar{Log: n.log, Table: n.ports.Table, Self: self}
+	m.collector = &collector.Collector{
+		Clock: n.clock,
+		Log:   n.log,
+		Self:  self,
+		Nodes: m.registrar,
+		Links: streams{m.links},
+		Work:  work{observer: n.observer, index: n.index},
+		Usage: noUsage{},
+	}
+	m.nodes = n.follow(registrar.Prefix, m.registrar.Apply)
+	m.server = courier.NewServer(peers{n})
+	return nil
+}
+
+// runMembers runs the parts that deal with the other nodes until ctx is done.
+func (n *Node) runMembers(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { n.members.nodes.Run(ctx) })
+	wg.Go(func() { n.members.collector.Run(ctx) })
+	wg.Go(func() {
+		if err := n.members.server.Serve(n.members.listener); err != nil && ctx.Err() == nil {
+			n.log.Error().Err(err).Msg("the interface for nodes failed")
+		}
+	})
+	<-ctx.Done()
+	n.members.server.Stop()
+	wg.Wait()
+}
+
+// streams opens streams to hubs.
+type streams struct{ links *courier.Links }
+
+// Join opens a stream.
+func (s streams) Join(ctx context.Context, address string) (collector.Stream, error) {
+	return s.links.Join(ctx, address)
+}
+
+// Forget closes the connection to a node.
+func (s streams) Forget(address string) { s.links.Forget(address) }
+
+// noUsage counts nothing.
+type noUsage struct{}
+
+// Since returns no counts.
+func (noUsage) Since(uint64, bool) ([]courier.NodeUsage, uint64) { return nil, 0 }
+
+// Merge takes no counts.
+func (noUsage) Merge([]courier.NodeUsage, bool) {}
+
+// work is what this node has in progress and learns of the others.
+type work struct {
+	observer *observer.Observer
+	index    *indexer.Index
+}
+
+// Engines returns what this node has in progress.
+func (w work) Engines() []courier.EngineWork {
+	var out []courier.EngineWork
+	for _, e := range w.observer.All() {
+		if e.Sent > 0 || e.SentWork > 0 {
+			out = append(out, courier.EngineWork{Engine: courier.EngineOf(e.ID), Reading: e.SentWork, Requests: e.Sent})
+		}
+	}
+	slices.SortFunc(out, func(a, b courier.EngineWork) int { return int(int64(a.Engine) - int64(b.Engine)) })
+	return out
+}
+
+// SetOthers takes what all other nodes have in progress.
+func (w work) SetOthers(engines []courier.EngineWork, at time.Time) {
+	by := make(map[courier.Engine]courier.EngineWork, len(engines))
+	for _, e := range engines {
+		by[e.Engine] = e
+	}
+	for _, e := range w.observer.All() {
+		o := by[courier.EngineOf(e.ID)]
+		w.observer.SetElsewhere(e.ID, o.Reading, o.Requests, at)
+	}
+}
+
+// Learn takes a beginning that an engine has read for another node.
+func (w work) Learn(b courier.Beginning) {
+	for _, e := range w.observer.All() {
+		if courier.EngineOf(e.ID) == b.Engine {
+			w.index.StoreAt(e.ID, b.Keys, w.observer.Clock.Now().Add(-b.Age))
+			return
+		}
+	}
+}
+
+// peers answers other nodes.
+type peers struct{ node *Node }
+
+// Answer returns the summary for a statement.
+func (p peers) Answer(s courier.Statement) courier.Summary { return p.node.members.collector.Answer(s) }
+
+// Left notes that the stream of a node has ended.
+func (p peers) Left(s courier.Statement) { p.node.members.collector.Left(s) }
+
+// Follow sends the content of a table.
+func (p peers) Follow(ctx context.Context, prefix string, changed uint64, send func(courier.Content) error) error {
+	for _, f := range []*follower.Follower{p.node.configs, p.node.endpoints, p.node.members.nodes} {
+		if f.Prefix == prefix {
+			return f.Serve(ctx, changed, send)
+		}
+	}
+	return coder.New(coder.RowUnknown, "there is no table %s", prefix)
+}
+
+// relay takes tables from the hub of the data centre, or from another node
+// while the store does not answer this one.
+type relay struct{ node *Node }
+
+// Source returns the address of the node to take tables from.
+func (r relay) Source(away bool) string {
+	m := r.node.members
+	if hub := m.collector.Hub(); hub != "" && hub != r.node.settings.ID {
+		for _, n := range m.registrar.Of(r.node.settings.DataCentre) {
+			if n.ID == hub {
+				return n.Address
+			}
+		}
+	}
+	if !away {
+		return ""
+	}
+	return r.other()
+}
+
+// other returns the address of a node other than this one, another each time;
+// before any is known, that of a seed.
+func (r relay) other() string {
+	var addresses []string
+	for _, n := range r.node.members.registrar.Nodes() {
+		if n.ID != r.node.settings.ID {
+			addresses = append(addresses, n.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = r.node.settings.Seeds
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[r.node.turn.Add(1)%uint64(len(addresses))]
+}
+
+// Follow takes content from a node.
+func (r relay) Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.Content)) error {
+	return r.node.members.links.Follow(ctx, address, prefix, changed, take)
+}
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 )
 
 // Header is a set of named values; names are in canonical form.
@@ -43,13 +44,6 @@
 // Repeatable reports whether the body can be sent again.
 func (b Body) Repeatable() bool { return b.Stream == nil }
 
-// Part is a part of a prompt; requests whose prompts begin with the same parts
-// share the engine's work on them.
-type Part struct {
-	ID     uint64
-	Tokens int
-}
-
 // Request is one request of a caller.
 //
 // It is an immutable value; the With methods return changed copies.
@@ -84,7 +78,7 @@
 	Prompt []byte
 	// Parts are the parts of the prompt in order, where the caller names them
 	// in place of the text.
-	Parts []Part
+	Parts []indexer.Part
 	// PromptTokens is an estimate; MaxTokens is the caller's bound, 0 if none.
 	PromptTokens int
 	MaxTokens    int
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -26,8 +26,11 @@
 	Observer   *observer.Observer
 	// Index knows the prefix caches of the engines.
 	Index *indexer.Index
-	// Limits tells the limits in force.
+	// Limits tells the limits in force, Config the configuration.
 	Limits func() definer.Limits
+	Config func() (definer.Config, error)
+	// Note is told which engine works on which beginnings; nil means nothing.
+	Note func(engine string, keys []uint64)
 }
 
 const (
@@ -41,6 +44,11 @@
 
 // Choose returns the endpoint for the next attempt.
 func (c Chooser) Choose(r carrier.Request, p carrier.Progress) picker.Plan {
+	if r.Route.Kind == definer.Model && len(r.Parts) > 0 {
+		if plan := c.place(r, p); plan.Run.OK {
+			return plan
+		}
+	}
 	need := picker.Need{
 		RequestID:  r.ID,
 		DataCentre: c.DataCentre,
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -123,7 +123,6 @@
 		Resume:      resume,
 		Source:      c.source.handle,
 		IdleTimeout: c.rule.IdleTimeout,
-		OnFirst:     func() { d.begun(c) },
 	}
 	if a.Source.ID == "" {
 		a.Fetch = plan.Fetch
@@ -131,7 +130,15 @@
 	if r.MayRepeat() {
 		a.FirstTimeout = c.rule.FirstTimeout
 	}
-	w := r.Work()
+	w := r.PromptTokens
+	if a.Source.ID != "" {
+		w = 0
+	}
+	a.OnFirst = func() {
+		d.Endpoints.Read(e.ID, w)
+		w = 0
+		d.begun(c)
+	}
 	d.Endpoints.Sent(e.ID, w)
 	rep := d.Forwarder.Forward(c.job.ctx, a, c.reply)
 	d.note(c, e, w, rep)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -57,6 +57,8 @@
 type Endpoints interface {
 	// Sent notes that a request of the given work goes to an endpoint.
 	Sent(id string, work int)
+	// Read notes that the endpoint has read the prompt of the request.
+	Read(id string, work int)
 	// Done notes its end and what that tells of the endpoint.
 	Done(id string, work int, sign picker.Sign, rule definer.Rule)
 	// Report notes the endpoint's own account of its load.
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -19,6 +19,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
@@ -97,11 +98,14 @@
 	return s
 }
 
-// Peers are a second source beside the store.
-type Peers interface {
-	// Newer returns a snapshot of a peer that has rows newer than a version;
-	// false means that no peer has any.
-	Newer(ctx context.Context, prefix string, changed uint64) (Snapshot, bool)
+// Relay is where the table can be taken from in place of the store.
+type Relay interface {
+	// Source returns the address of the node to take the table from; empty means
+	// the store. With away set the store does not answer this node.
+	Source(away bool) string
+	// Follow takes content from the node at an address until ctx is done or the
+	// stream breaks.
+	Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.Content)) error
 }
 
 // Follower follows the rows with one prefix.
@@ -116,14 +120,17 @@
 	Refresh time.Duration
 	// Retry is the delay after a call that failed.
 	Retry time.Duration
-	// Peers may be nil.
-	Peers Peers
+	// Relay may be nil.
+	Relay Relay
 	// OnChange is called after each change, from one goroutine at a time.
 	OnChange func(Snapshot)
 
 	state keeper.Cell[Snapshot]
 	// read is when the whole table was last read.
 	read time.Time
+	// shun has the nodes that have failed as sources, with the time until which
+	// they are not asked.
+	shun map[string]time.Time
 }
 
 // Snapshot returns the newest content.
@@ -132,6 +139,10 @@
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if address := f.source(); address != "" {
+			f.relay(ctx, address)
+			continue
+		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
 		}
@@ -195,7 +206,7 @@
 	}
 }
 
-// failed notes that the store did not answer, takes what peers have, and waits.
+// failed notes that the store did not answer, and waits.
 func (f *Follower) failed(ctx context.Context, err error) {
 	now := f.Clock.Now()
 	f.store(func(s Snapshot) Snapshot {
@@ -208,31 +219,5 @@
 		}
 		return s
 	})
-	f.askPeers(ctx)
 	_ = f.Clock.Sleep(ctx, f.Retry)
 }
-
-// askPeers takes the content of a peer where it is newer.
-func (f *Follower) askPeers(ctx context.Context) {
-	if f.Peers == nil {
-		return
-	}
-	have := f.state.Get()
-	got, ok := f.Peers.Newer(ctx, f.Prefix, have.Changed)
-	if !ok || got.Changed <= have.Changed {
-		return
-	}
-	f.Log.Info().Str("table", f.Prefix).Uint64("version", got.Changed).Uint64("before", have.Changed).Msg("content taken from a peer")
-	f.store(func(s Snapshot) Snapshot {
-		if got.Changed <= s.Changed {
-			return s
-		}
-		s.rows, s.Changed, s.Version = got.rows, got.Changed, max(s.Version, got.Version)
-		return s
-	})
-}
-
-// NewSnapshot returns the content that a peer has sent.
-func NewSnapshot(version uint64, rows []transactor.Row) Snapshot {
-	return Snapshot{}.withAll(transactor.Changes{Rows: rows, Version: version})
-}
