--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -53,6 +53,8 @@
 type try struct {
 	lease lease
 	sent  time.Time
+	// until is when the lease can no longer be trusted if it took effect.
+	until time.Time
 }
 
 // duty is what this node knows of one duty.
@@ -127,7 +129,7 @@
 // withRenewal returns a copy whose renewal is known to have taken effect.
 func (d duty) withRenewal(t try, version uint64) duty {
 	d.row, d.version, d.known, d.tried = t.lease, version, true, nil
-	d.until = t.sent.Add(Duration - Margin)
+	d.until = t.until
 	return d
 }
 
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -16,18 +16,25 @@
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
-// The times of a lease.
-const (
+// Times are the times of leases; they are the same on all nodes.
+type Times struct {
 	// Duration is how long others leave a lease alone after a renewal.
-	Duration = 6 * time.Second
-	// Margin is taken off at the holder and added at a contender, so that
-	// clocks that run at slightly different rates do no harm.
-	Margin = time.Second
+	Duration time.Duration
+	// Margin is taken off at the holder and added at a contender, so that clocks
+	// that run at slightly different rates do no harm.
+	Margin time.Duration
 	// RenewEvery leaves a holder two more tries before the lease ends.
-	RenewEvery = 2 * time.Second
+	RenewEvery time.Duration
+}
+
+// DefaultTimes returns the times of a Leaser that sets none.
+func DefaultTimes() Times {
+	return Times{Duration: 6 * time.Second, Margin: time.Second, RenewEvery: 2 * time.Second}
+}
+
+const (
 	// FollowEvery is the delay between two looks at what is due.
 	FollowEvery = 250 * time.Millisecond
-
 	// retryEvery is the mean delay after a call that failed.
 	retryEvery = 500 * time.Millisecond
 	// rankWait keeps the nodes that watch a duty from taking it over at once.
@@ -47,6 +54,8 @@
 	// Name names this process in lease rows. It must differ after a restart: a
 	// process must not take the lease of an earlier one for its own.
 	Name string
+	// Times are the times of the leases; the zero value means DefaultTimes.
+	Times Times
 	// Watches returns the duties that this node watches and its rank in each.
 	Watches func() map[string]int
 	// Random returns numbers from 0 to below 1 that spread calls; nil means rand.
@@ -60,6 +69,20 @@
 // RowKey returns the key of the row that the holder of a duty renews.
 func RowKey(name string) string { return "lease/" + name }
 
+func (l *Leaser) times() Times {
+	if l.Times == (Times{}) {
+		return DefaultTimes()
+	}
+	return l.Times
+}
+
+// try returns a commit of a lease that is sent now.
+func (l *Leaser) try(c lease) try {
+	sent := l.Clock.Now()
+	t := l.times()
+	return try{lease: c, sent: sent, until: sent.Add(t.Duration - t.Margin)}
+}
+
 // Grant returns the present lease of a duty; false if this node has none.
 func (l *Leaser) Grant(name string) (Grant, bool) {
 	d, ok := l.Duties.Get(name)
@@ -198,7 +221,7 @@
 // The lease may have ended here meanwhile. If no contender took it, the
 // renewal is the same tenure, because no other process had the duty between.
 func (l *Leaser) renew(ctx context.Context, name string, d duty) duty {
-	t := try{lease: lease{holder: l.Name, token: d.row.token, beat: d.beat()}, sent: l.Clock.Now()}
+	t := l.try(lease{holder: l.Name, token: d.row.token, beat: d.beat()})
 	d = d.withSent(t)
 	version, err := l.Table.Commit(ctx, transactor.Tx{}.
 		WithCheck(RowKey(name), d.version).
@@ -207,7 +230,7 @@
 		l.Log.Warn().Str("duty", name).Err(err).Msg("lease not renewed")
 		return l.failed(d, t, err)
 	}
-	return d.withRenewal(t, version).withNext(t.sent.Add(RenewEvery))
+	return d.withRenewal(t, version).withNext(t.sent.Add(l.times().RenewEvery))
 }
 
 // failed returns what is known after a commit that failed.
@@ -253,10 +276,10 @@
 		switch {
 		case t.lease != row:
 		case d.mine:
-			return d.withRenewal(t, version).withNext(t.sent.Add(RenewEvery))
+			return d.withRenewal(t, version).withNext(t.sent.Add(l.times().RenewEvery))
 		default:
 			l.Log.Info().Str("duty", name).Uint64("fencing-token", row.token).Msg("lease taken, as read back")
-			return d.withTakeover(t, version).withNext(t.sent.Add(RenewEvery))
+			return d.withTakeover(t, version).withNext(t.sent.Add(l.times().RenewEvery))
 		}
 	}
 	if d.mine && row.holder == l.Name && row.token == d.row.token {
@@ -267,7 +290,7 @@
 		l.Log.Warn().Str("duty", name).Str("holder", row.holder).Uint64("fencing-token", row.token).Msg("lease lost")
 		d = d.withLoss()
 	}
-	return d.withoutTries().withRow(row, version, now).withNext(now.Add(l.spread(RenewEvery)))
+	return d.withoutTries().withRow(row, version, now).withNext(now.Add(l.spread(l.times().RenewEvery)))
 }
 
 // watch reads the lease of another process and takes it over once it has ended.
@@ -278,16 +301,16 @@
 	now := l.Clock.Now()
 	if err != nil {
 		// After an outage the holder gets the whole time to renew.
-		return d.withUnseen().withNext(now.Add(l.spread(RenewEvery)))
+		return d.withUnseen().withNext(now.Add(l.spread(l.times().RenewEvery)))
 	}
 	d = d.withRow(row, version, now)
 	wait := time.Duration(rank) * rankWait
 	if row.holder != "" {
-		wait += Duration + Margin
+		wait += l.times().Duration + l.times().Margin
 	}
 	due := d.since.Add(wait)
 	if now.Before(due) {
-		next := now.Add(RenewEvery)
+		next := now.Add(l.times().RenewEvery)
 		if due.Before(next) {
 			next = due
 		}
@@ -297,7 +320,7 @@
 }
 
 func (l *Leaser) takeOver(ctx context.Context, name string, d duty) duty {
-	t := try{lease: lease{holder: l.Name, token: d.row.token + 1, beat: d.beat()}, sent: l.Clock.Now()}
+	t := l.try(lease{holder: l.Name, token: d.row.token + 1, beat: d.beat()})
 	d = d.withSent(t)
 	content := encodeLease(t.lease)
 	version, err := l.Table.Commit(ctx, transactor.Tx{}.
@@ -308,5 +331,5 @@
 		return l.failed(d, t, err)
 	}
 	l.Log.Info().Str("duty", name).Uint64("fencing-token", t.lease.token).Msg("lease taken")
-	return d.withTakeover(t, version).withNext(t.sent.Add(RenewEvery))
+	return d.withTakeover(t, version).withNext(t.sent.Add(l.times().RenewEvery))
 }
--- a/internal/authority/leaser/leaser_test.go
+++ b/internal/authority/leaser/leaser_test.go
@@ -118,7 +118,7 @@
 			for j := range 50 {
 				delete(watches, fmt.Sprint(j))
 			}
-			clock.Advance(RenewEvery)
+			clock.Advance(DefaultTimes().RenewEvery)
 		}
 		_ = l.Follow(context.Background())
 		clock.Advance(FollowEvery)
--- a/internal/base/linker/exchange.go
+++ b/internal/base/linker/exchange.go
@@ -35,6 +35,9 @@
 type Options struct {
 	// Connections bounds the connections to the address; 0 means no bound.
 	Connections int
+	// Guard is asked between the opening of the connection and the sending; if
+	// it fails, nothing is sent. Nil allows all.
+	Guard func() error
 	// OnSend is called once a byte of the request may leave; nil means nothing.
 	OnSend func()
 	// Accept reports whether the head of an answer belongs to the request. An
@@ -73,6 +76,12 @@
 		l.close(c)
 		return nil, coder.Wrap(coder.EndpointUnreachable, ctx.Err(), "gave up before sending to %s", address).WithOutcome(coder.NotRun)
 	}
+	if o.Guard != nil {
+		if err := o.Guard(); err != nil {
+			l.keep(c, l.KeepFor)
+			return nil, err
+		}
+	}
 	if o.OnSend != nil {
 		o.OnSend()
 	}
--- /dev/null
+++ b/internal/fleet/director/director.go
@@ -0,0 +1,260 @@
+// Package director brings the endpoints of deployments to what is wanted.
+//
+// Only the holder of a deployment's duty orders, under its lease and with its
+// fencing token. A decision on numbers and a decision on roles say what is
+// wanted from what is listed; the director sends what differs. The list shows
+// in the end what has taken effect, so an order whose answer was lost needs no
+// record: it is sent again if the list does not come to show it. An order of a
+// role names the engine's start and the number of orders that it has accepted,
+// so that one which takes effect late cannot follow a newer one.
+package director
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+)
+
+// Duty returns the duty of directing a deployment's endpoints.
+func Duty(deployment string) string { return "fleet-" + deployment }
+
+// Count is the number of endpoints wanted of a tier in a data centre.
+type Count struct {
+	DataCentre string
+	Tier       definer.Tier
+	Want       int
+}
+
+// Role is the role that an engine should have.
+type Role struct {
+	Engine picker.Endpoint
+	Role   picker.Role
+}
+
+// State is what decisions are made from.
+type State struct {
+	Deployment definer.Deployment
+	Endpoints  []picker.Endpoint
+	// Refused has the data centres in which the supplier lately had none of the
+	// tier Spot.
+	Refused map[string]bool
+	Now     time.Time
+}
+
+// Policy decides what is wanted; it is a pure function of its arguments.
+type Policy interface {
+	// Counts returns the numbers wanted; what is not named stays as it is.
+	Counts(s State) []Count
+	// Roles returns the engines whose role should change, the most pressing
+	// first.
+	Roles(s State) []Role
+}
+
+// Supplier takes orders for numbers of endpoints.
+type Supplier interface {
+	// Want orders the number of endpoints of a tier in a data centre.
+	// StaleFencing: another holder has ordered. NoEndpoint: there are none to be
+	// had at present.
+	Want(ctx context.Context, g leaser.Grant, deployment string, c Count) error
+}
+
+// Engines takes orders of roles.
+type Engines interface {
+	// Orders returns the number of orders that an engine has accepted.
+	Orders(ctx context.Context, e picker.Endpoint) (uint64, error)
+	// SetRole orders a role if the engine has accepted no order since.
+	SetRole(ctx context.Context, g leaser.Grant, e picker.Endpoint, role picker.Role, accepted uint64) error
+}
+
+// The times of orders.
+const (
+	// refusedFor is how long a data centre without cheap endpoints is left alone.
+	refusedFor = 3 * time.Second
+	// repeatAfter is when an order for endpoints is sent again though nothing
+	// differs that the holder knows of.
+	repeatAfter = 15 * time.Second
+	// changeWait is how long a change of role may take to show in the list
+	// beside the time that the engine is away.
+	changeWait = 3 * time.Second
+	// maxChanges bounds the engines of a deployment that change roles at once to
+	// one in so many.
+	maxChanges = 3
+)
+
+// Director directs the deployments whose duty this node holds.
+type Director[P Policy] struct {
+	Clock    timekeeper.Clock
+	Log      zerolog.Logger
+	Leases   leaser.Holder
+	Config   func() (definer.Config, error)
+	Of       func(deployment string) []picker.Endpoint
+	Supplier Supplier
+	Engines  Engines
+	Policy   P
+	// TakeoverWait is how long a new holder waits for orders of the former one
+	// that may be under way, where engines do not refuse old fencing tokens.
+	TakeoverWait time.Duration
+
+	tenures map[string]*tenure
+}
+
+// tenure is what the holder of a deployment's duty remembers.
+type tenure struct {
+	epoch uint64
+	// ordered has the numbers that were ordered last.
+	ordered map[place]order
+	refused map[string]time.Time
+	// changing has the engines that were ordered a role.
+	changing map[string]change
+}
+
+type place struct {
+	dataCentre string
+	tier       definer.Tier
+}
+
+type order struct {
+	want int
+	at   time.Time
+}
+
+type change struct {
+	role picker.Role
+	at   time.Time
+}
+
+// Duties returns the duties of a configuration: one for each deployment whose
+// numbers or roles can be ordered.
+func Duties(c definer.Config) []string {
+	var duties []string
+	for _, d := range c.Deployments() {
+		if directed(d) {
+			duties = append(duties, Duty(d.Name))
+		}
+	}
+	return duties
+}
+
+func directed(d definer.Deployment) bool { return len(d.Placements) > 0 || d.Engine.HandleLife > 0 }
+
+// Run directs each deployment once; a task repeats it.
+func (r *Director[P]) Run(ctx context.Context) error {
+	cfg, err := r.Config()
+	if err != nil {
+		return nil
+	}
+	for _, d := range cfg.Deployments() {
+		if !directed(d) {
+			continue
+		}
+		g, ok := r.Leases.Grant(Duty(d.Name))
+		if !ok {
+			delete(r.tenures, d.Name)
+			continue
+		}
+		if err := r.direct(ctx, g, d); err != nil {
+			r.Log.Warn().Str("deployment", d.Name).Err(err).Msg("orders not sent")
+		}
+	}
+	return nil
+}
+
+// tenure returns what is remembered of a deployment since the takeover.
+func (r *Director[P]) tenure(g leaser.Grant, deployment string) *tenure {
+	if r.tenures == nil {
+		r.tenures = make(map[string]*tenure)
+	}
+	t, ok := r.tenures[deployment]
+	if !ok || t.epoch != g.Epoch {
+		t = &tenure{
+			epoch:    g.Epoch,
+			ordered:  make(map[place]order),
+			refused:  make(map[string]time.Time),
+			changing: make(map[string]change),
+		}
+		r.tenures[deployment] = t
+	}
+	return t
+}
+
+func (r *Director[P]) direct(ctx context.Context, g leaser.Grant, d definer.Deployment) error {
+	now := r.Clock.Now()
+	t := r.tenure(g, d.Name)
+	s := State{Deployment: d, Endpoints: r.Of(d.Name), Now: now, Refused: make(map[string]bool)}
+	for dc, at := range t.refused {
+		s.Refused[dc] = now.Sub(at) < refusedFor
+	}
+	if len(d.Placements) > 0 {
+		if err := r.count(ctx, g, t, s); err != nil {
+			return err
+		}
+	}
+	if d.Fencing != definer.FencingChecked && now.Sub(g.Taken) < r.TakeoverWait {
+		return nil
+	}
+	return r.assign(ctx, g, t, s)
+}
+
+// count orders the numbers that are wanted and were not ordered yet.
+func (r *Director[P]) count(ctx context.Context, g leaser.Grant, t *tenure, s State) error {
+	for _, c := range r.Policy.Counts(s) {
+		p := place{dataCentre: c.DataCentre, tier: c.Tier}
+		last, ok := t.ordered[p]
+		if ok && last.want == c.Want && s.Now.Sub(last.at) < repeatAfter {
+			continue
+		}
+		err := r.Supplier.Want(ctx, g, s.Deployment.Name, c)
+		r.Log.Info().Str("decision", "fleet").Str("deployment", s.Deployment.Name).Str("data-centre", c.DataCentre).
+			Str("tier", string(c.Tier)).Int("want", c.Want).Int("before", last.want).
+			Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("endpoints ordered")
+		switch {
+		case coder.Is(err, coder.NoEndpoint):
+			t.refused[c.DataCentre] = r.Clock.Now()
+		case coder.Is(err, coder.StaleFencing), coder.Is(err, coder.LeaseNotHeld):
+			return err
+		case err != nil:
+			// It may take effect late; the list will tell.
+			delete(t.ordered, p)
+			return err
+		default:
+			t.ordered[p] = order{want: c.Want, at: s.Now}
+		}
+	}
+	return nil
+}
+
+// assign orders the roles that are wanted, few at a time.
+func (r *Director[P]) assign(ctx context.Context, g leaser.Grant, t *tenure, s State) error {
+	for _, e := range s.Endpoints {
+		c, ok := t.changing[e.ID]
+		if ok && (e.Report.Role == c.role || s.Now.Sub(c.at) > s.Deployment.RoleChange+changeWait) {
+			delete(t.changing, e.ID)
+		}
+	}
+	most := max(len(s.Endpoints)/maxChanges, 1)
+	for _, w := range r.Policy.Roles(s) {
+		if _, ok := t.changing[w.Engine.ID]; ok || len(t.changing) >= most {
+			continue
+		}
+		accepted, err := r.Engines.Orders(ctx, w.Engine)
+		if err != nil {
+			return err
+		}
+		t.changing[w.Engine.ID] = change{role: w.Role, at: s.Now}
+		err = r.Engines.SetRole(ctx, g, w.Engine, w.Role, accepted)
+		r.Log.Info().Str("decision", "roles").Str("deployment", s.Deployment.Name).Str("endpoint", w.Engine.ID).
+			Str("role", string(w.Role)).Str("before", string(w.Engine.Report.Role)).Uint64("accepted", accepted).
+			Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("role ordered")
+		if coder.Is(err, coder.StaleFencing) || coder.Is(err, coder.LeaseNotHeld) {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -12,6 +12,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-faster/jx"
 	"github.com/rs/zerolog"
@@ -32,6 +33,9 @@
 	Address     string
 	DataCentre  string
 	Incarnation uint64
+	// Offset is the node's time of day when it started, less the time that the
+	// store's clock showed.
+	Offset time.Duration
 	// Order is the version of the row.
 	Order uint64
 }
@@ -41,6 +45,8 @@
 	Log   zerolog.Logger
 	Table transactor.Table
 	Self  Node
+	// Offset returns the offset of this node; false while it is not known.
+	Offset func() (time.Duration, bool)
 
 	nodes      keeper.Cell[[]Node]
 	registered keeper.Cell[bool]
@@ -48,10 +54,13 @@
 
 // Register writes this node's row unless it stands; a task repeats it.
 func (r *Registrar) Register(ctx context.Context) error {
-	if r.registered.Get() {
+	offset, ok := r.Offset()
+	if r.registered.Get() || !ok {
 		return nil
 	}
-	if _, err := r.Table.Commit(ctx, transactor.Tx{}.WithPut(Prefix+r.Self.ID, encode(r.Self))); err != nil {
+	self := r.Self
+	self.Offset = offset
+	if _, err := r.Table.Commit(ctx, transactor.Tx{}.WithPut(Prefix+self.ID, encode(self))); err != nil {
 		return err
 	}
 	r.registered.Update(func(bool) (bool, bool) { return true, true })
@@ -87,6 +96,16 @@
 // Nodes returns the nodes in the order of their rows.
 func (r *Registrar) Nodes() []Node { return r.nodes.Get() }
 
+// Offsets returns the offsets of all nodes.
+func (r *Registrar) Offsets() []time.Duration {
+	nodes := r.nodes.Get()
+	offsets := make([]time.Duration, len(nodes))
+	for i, n := range nodes {
+		offsets[i] = n.Offset
+	}
+	return offsets
+}
+
 // Of returns the nodes of a data centre in their order.
 func (r *Registrar) Of(dataCentre string) []Node {
 	var of []Node
@@ -113,6 +132,7 @@
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("address", func(e *jx.Encoder) { e.Str(n.Address) })
 		e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
+		e.Field("clock-offset-ms", func(e *jx.Encoder) { e.Int64(n.Offset.Milliseconds()) })
 		e.Field("incarnation", func(e *jx.Encoder) { e.UInt64(n.Incarnation) })
 	})
 	return e.Bytes()
@@ -126,6 +146,10 @@
 			n.Address, err = d.Str()
 		case "data-centre":
 			n.DataCentre, err = d.Str()
+		case "clock-offset-ms":
+			var ms int64
+			ms, err = d.Int64()
+			n.Offset = time.Duration(ms) * time.Millisecond
 		case "incarnation":
 			n.Incarnation, err = d.UInt64()
 		default:
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/linker"
@@ -52,6 +53,12 @@
 	Lapse time.Duration
 	// Workers is the number of requests in work at once.
 	Workers int
+	// Lease is the time after which others may take over what a node holds.
+	Lease time.Duration
+	// UsageWindow is the length of a window of usage, UsageLate how long after
+	// its end it can be reported.
+	UsageWindow time.Duration
+	UsageLate   time.Duration
 }
 
 // Handler answers requests.
@@ -80,6 +87,9 @@
 	Links *linker.Linker
 	// Dial opens connections to other nodes.
 	Dial linker.Dial
+	// Receivers returns what takes reports and orders; check fails if a lease can
+	// no longer be trusted.
+	Receivers func(check func(leaser.Grant) error) Receivers
 }
 
 // Node is one process of the system.
@@ -98,6 +108,7 @@
 	queue     queue
 	handler   *dispatcher.Dispatcher
 	members   members
+	duties    duties
 	stopping  atomic.Bool
 	// turn counts the nodes that were asked for tables.
 	turn atomic.Uint64
@@ -144,6 +155,8 @@
 	if err != nil {
 		return nil, err
 	}
+	n.buildDuties()
+	n.members.collector.Usage = n.duties.ledger
 	if n.callers, err = listen(s.CallersListen); err != nil {
 		return nil, err
 	}
@@ -156,11 +169,15 @@
 // follow returns what follows a table.
 func (n *Node) follow(prefix string, apply func(follower.Snapshot)) *follower.Follower {
 	return &follower.Follower{
-		Clock: n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Relay: relay{n},
+		OnClock: n.readClock,
+		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Relay: relay{n},
 		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
 	}
 }
 
+// readClock takes a reading of the store's clock.
+func (n *Node) readClock(store time.Duration) { n.duties.dater.Read(store) }
+
 func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -245,6 +262,7 @@
 		Queue:     n.queue,
 		Engines:   n.ports.Engines,
 		Random:    rand.Float64,
+		Begun:     n.begun,
 	}
 }
 
@@ -285,6 +303,7 @@
 	<-ctx.Done()
 	n.stop(callers)
 	_ = ready.Close()
+	n.leave()
 	stopTasks()
 	wg.Wait()
 	n.log.Info().Msg("node stopped")
@@ -306,11 +325,11 @@
 }
 
 func (n *Node) periodic() []runner.Periodic {
-	return []runner.Periodic{
+	return append(n.dutyTasks(), []runner.Periodic{
 		{Name: "endpoint-list", Every: listEvery, Task: n.observer.RefreshList},
 		{Name: "registration", Every: registerEvery, Task: n.members.registrar.Register},
 		{Name: "connections", Every: sweepEvery, Task: n.ports.Links.Sweep},
-	}
+	}...)
 }
 
 // stop ends the callers' interface once what runs is finished.
@@ -324,3 +343,17 @@
 		n.log.Warn().Err(err).Msg("requests were still running when the time to stop ended")
 	}
 }
+
+// leaveLimit bounds the handing over; a successor needs nothing of it to be
+// correct, only to be quick.
+const leaveLimit = 500 * time.Millisecond
+
+// leave hands over what the node holds, once it serves no more.
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
+	defer cancel()
+	n.leaveDuties(ctx)
+	if err := n.members.registrar.Leave(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("the row of the node stays")
+	}
+}
--- /dev/null
+++ b/internal/node/composer/duties.go
@@ -0,0 +1,135 @@
+package composer
+
+import (
+	"context"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/authority/assigner"
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/fleet/director"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/usage/closer"
+	"foxtailflow.example/foxtailflow/internal/usage/dater"
+	"foxtailflow.example/foxtailflow/internal/usage/ledger"
+)
+
+// Receivers take what one node at a time may send.
+type Receivers interface {
+	closer.Reports
+	director.Supplier
+	director.Engines
+}
+
+// duties are the parts of a node that do the work of one node at a time.
+type duties struct {
+	leaser   *leaser.Leaser
+	ledger   *ledger.Ledger
+	dater    *dater.Dater
+	closer   *closer.Closer
+	director *director.Director[director.Steady]
+}
+
+const (
+	// settle is the time in which the counts of a window reach the holder: two
+	// rounds of statements of a node, and of a hub.
+	settle = 1500 * time.Millisecond
+	// lateMargin is kept before the end of the time in which a window can be
+	// reported.
+	lateMargin = 500 * time.Millisecond
+	// saveEvery is how often the counts of open windows are written down.
+	saveEvery = time.Second
+	// closeEvery and directEvery are how often the holder of a duty looks.
+	closeEvery  = 500 * time.Millisecond
+	directEvery = 500 * time.Millisecond
+)
+
+// leaseTimes returns the times of leases that end within the given time.
+func leaseTimes(d time.Duration) leaser.Times {
+	return leaser.Times{Duration: d, Margin: d / 6, RenewEvery: d / 3}
+}
+
+func (n *Node) buildDuties() {
+	d := &n.duties
+	boot := timekeeper.Boot{}
+	d.dater = &dater.Dater{Steady: boot, Wall: n.clock, Offsets: n.members.registrar.Offsets}
+	d.ledger = &ledger.Ledger{Self: n.settings.ID + "." + n.members.name()}
+	d.leaser = &leaser.Leaser{
+		Clock:   boot,
+		Log:     n.log,
+		Table:   n.ports.Table,
+		Name:    n.settings.ID + "." + n.members.name(),
+		Times:   leaseTimes(n.settings.Lease),
+		Watches: n.watches,
+	}
+	d.leaser.Duties.Rank = keeper.RankLeases
+	receivers := n.ports.Receivers(d.leaser.Check)
+	d.closer = &closer.Closer{
+		Settings: closer.Settings{
+			Window:    n.settings.UsageWindow,
+			Settle:    settle,
+			Late:      n.settings.UsageLate - lateMargin,
+			SaveEvery: saveEvery,
+		},
+		Clock:   n.clock,
+		Log:     n.log,
+		Table:   n.ports.Table,
+		Leases:  d.leaser,
+		Reports: receivers,
+		Ledger:  d.ledger,
+		Now:     d.dater.Now,
+	}
+	d.director = &director.Director[director.Steady]{
+		Clock:        n.clock,
+		Log:          n.log,
+		Leases:       d.leaser,
+		Config:       n.Config,
+		Of:           n.observer.Of,
+		Supplier:     receivers,
+		Engines:      receivers,
+		Policy:       director.Steady{PerDataCentre: 4, ReadShare: 0.6},
+		TakeoverWait: n.settings.Lease,
+	}
+}
+
+// watches returns the duties that this node watches, with its rank in each: the
+// hubs watch all duties, and the data centres rank the hubs.
+func (n *Node) watches() map[string]int {
+	if !n.members.collector.IsHub() {
+		return nil
+	}
+	cfg, err := n.Config()
+	if err != nil {
+		return nil
+	}
+	names := n.members.registrar.DataCentres()
+	watched := make(map[string]int)
+	for _, duty := range append(director.Duties(cfg), closer.Duty) {
+		for rank, dc := range assigner.Rank(duty, names) {
+			if dc == n.settings.DataCentre {
+				watched[duty] = rank
+			}
+		}
+	}
+	return watched
+}
+
+// begun counts a request that has begun to run.
+func (n *Node) begun(r carrier.Request) {
+	if r.Account != "" {
+		n.duties.ledger.Count(n.duties.closer.Settings.WindowAt(n.duties.dater.Now()), r.Account)
+	}
+}
+
+func (n *Node) dutyTasks() []runner.Periodic {
+	return []runner.Periodic{
+		{Name: "leases", Every: leaser.FollowEvery, Task: n.duties.leaser.Follow},
+		{Name: "usage", Every: closeEvery, Task: n.duties.closer.Run},
+		{Name: "fleet", Every: directEvery, Task: n.duties.director.Run},
+	}
+}
+
+// leaveDuties gives the leases back.
+func (n *Node) leaveDuties(ctx context.Context) { n.duties.leaser.Release(ctx) }
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -45,7 +46,10 @@
 	m := &n.members
 	m.listener = l
 	m.links = &courier.Links{Dial: courier.Dial(n.ports.Dial)}
-	m.registrar = &registrar.Registrar{Log: n.log, Table: n.ports.Table, Self: self}
+	m.registrar = &registrar.Registrar{
+		Log: n.log, Table: n.ports.Table, Self: self,
+		Offset: func() (time.Duration, bool) { return n.duties.dater.Own() },
+	}
 	m.collector = &collector.Collector{
 		Clock: n.clock,
 		Log:   n.log,
@@ -53,13 +57,15 @@
 		Nodes: m.registrar,
 		Links: streams{m.links},
 		Work:  work{observer: n.observer, index: n.index},
-		Usage: noUsage{},
 	}
 	m.nodes = n.follow(registrar.Prefix, m.registrar.Apply)
 	m.server = courier.NewServer(peers{n})
 	return nil
 }
 
+// name tells one start of a node from another.
+func (m members) name() string { return strconv.FormatUint(m.registrar.Self.Incarnation, 36) }
+
 // runMembers runs the parts that deal with the other nodes until ctx is done.
 func (n *Node) runMembers(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -86,15 +92,6 @@
 // Forget closes the connection to a node.
 func (s streams) Forget(address string) { s.links.Forget(address) }
 
-// noUsage counts nothing.
-type noUsage struct{}
-
-// Since returns no counts.
-func (noUsage) Since(uint64, bool) ([]courier.NodeUsage, uint64) { return nil, 0 }
-
-// Merge takes no counts.
-func (noUsage) Merge([]courier.NodeUsage, bool) {}
-
 // work is what this node has in progress and learns of the others.
 type work struct {
 	observer *observer.Observer
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -122,6 +122,8 @@
 	Retry time.Duration
 	// Relay may be nil.
 	Relay Relay
+	// OnClock is called with each reading of the store's clock; nil means nothing.
+	OnClock func(time.Duration)
 	// OnChange is called after each change, from one goroutine at a time.
 	OnChange func(Snapshot)
 
@@ -159,6 +161,7 @@
 			return err
 		}
 		f.read = now
+		f.clock(c)
 		f.take(func(s Snapshot) Snapshot {
 			if c.Version < s.Version {
 				return s
@@ -176,12 +179,19 @@
 	if err != nil {
 		return err
 	}
+	f.clock(c)
 	// Rows, and not the version of an answer without any, say how far the
 	// content is complete: a watch may have missed changes.
 	f.take(func(s Snapshot) Snapshot { return s.withChanges(c) })
 	return nil
 }
 
+func (f *Follower) clock(c transactor.Changes) {
+	if f.OnClock != nil && c.Clock > 0 {
+		f.OnClock(c.Clock)
+	}
+}
+
 // take stores what the store has told.
 func (f *Follower) take(change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
--- /dev/null
+++ b/internal/usage/closer/closer.go
@@ -0,0 +1,240 @@
+// Package closer closes the windows of usage and reports each with one set of
+// figures.
+//
+// Only the holder of the duty does so. It writes the figures of a window down,
+// in a commit that fails once another node has taken the duty over or has
+// written them, before it reports them for the first time. So every report of a
+// window, by this node or the next holder, has the same figures. What the nodes
+// have counted in windows that are not closed yet is written down as well, once
+// a second, so that it outlives a loss of all nodes.
+package closer
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// Duty is the duty of reporting usage.
+const Duty = "usage"
+
+// Reports receives usage.
+type Reports interface {
+	// ReportUsage reports the requests of each client account in a window, under
+	// a lease. StaleFencing: another holder has reported meanwhile.
+	ReportUsage(ctx context.Context, g leaser.Grant, window int64, counts map[string]int) error
+}
+
+// Ledger has the counts of all nodes.
+type Ledger interface {
+	Merge(counts []courier.NodeUsage, local bool)
+	Window(window int64) []courier.NodeUsage
+	Total(window int64) map[string]int
+	Windows() []int64
+	Forget(before int64)
+}
+
+// Settings are the times of windows.
+type Settings struct {
+	// Window is the length of a window; window k begins k windows after the
+	// start of 1970.
+	Window time.Duration
+	// Settle is how long after its end the counts of a window have arrived.
+	Settle time.Duration
+	// Late is how long after its end a window can be reported.
+	Late time.Duration
+	// SaveEvery is how often the counts of open windows are written down.
+	SaveEvery time.Duration
+}
+
+// Closer closes and reports windows.
+type Closer struct {
+	Settings Settings
+	Clock    timekeeper.Clock
+	Log      zerolog.Logger
+	Table    transactor.Table
+	Leases   leaser.Holder
+	Reports  Reports
+	Ledger   Ledger
+	// Now returns the true time.
+	Now func() time.Time
+
+	held tenure
+}
+
+// tenure is what the holder knows since it took the duty over; Run alone uses
+// it.
+type tenure struct {
+	epoch uint64
+	// closed has the figures of the windows that are written down, reported
+	// those that were received.
+	closed   map[int64]map[string]int
+	reported map[int64]bool
+	saved    time.Time
+}
+
+// WindowAt returns the window of a time.
+func (s Settings) WindowAt(t time.Time) int64 { return t.UnixNano() / int64(s.Window) }
+
+// end returns the end of a window.
+func (s Settings) end(window int64) time.Time { return time.Unix(0, (window+1)*int64(s.Window)) }
+
+// Run does what is due if this node holds the duty; a task repeats it.
+func (c *Closer) Run(ctx context.Context) error {
+	now := c.Now()
+	c.Ledger.Forget(c.Settings.WindowAt(now.Add(-2 * c.Settings.Late)))
+	g, ok := c.Leases.Grant(Duty)
+	if !ok {
+		c.held = tenure{}
+		return nil
+	}
+	if c.held.epoch != g.Epoch {
+		if err := c.load(ctx, g); err != nil {
+			return err
+		}
+	}
+	if err := c.save(ctx, g); err != nil {
+		return err
+	}
+	for _, window := range c.windows() {
+		end := c.Settings.end(window)
+		if now.Before(end.Add(c.Settings.Settle)) || c.held.reported[window] {
+			continue
+		}
+		if now.After(end.Add(c.Settings.Late)) {
+			c.Log.Warn().Int64("window", window).Msg("window can no longer be reported in time")
+			c.held.reported[window] = true
+			continue
+		}
+		if err := c.finish(ctx, g, window); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// windows returns the windows that have counts or figures, in order.
+func (c *Closer) windows() []int64 {
+	windows := append(c.Ledger.Windows(), slices.Collect(maps.Keys(c.held.closed))...)
+	slices.Sort(windows)
+	return slices.Compact(windows)
+}
+
+// load reads what former holders have written down.
+func (c *Closer) load(ctx context.Context, g leaser.Grant) error {
+	t := tenure{epoch: g.Epoch, closed: make(map[int64]map[string]int), reported: make(map[int64]bool)}
+	rows, err := transactor.ScanAll(ctx, c.Table, windowPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		window, counts, err := decodeWindow(row)
+		if err != nil {
+			return err
+		}
+		t.closed[window] = counts
+	}
+	row, err := c.Table.Get(ctx, openKey)
+	if err != nil && !coder.Is(err, coder.RowUnknown) {
+		return err
+	}
+	if err == nil {
+		saved, err := decodeOpen(row.Value)
+		if err != nil {
+			return err
+		}
+		c.Ledger.Merge(saved.counts, false)
+		for _, window := range saved.reported {
+			t.reported[window] = true
+		}
+	}
+	c.held = t
+	c.Log.Info().Uint64("fencing-token", g.Token).Int("closed", len(t.closed)).Msg("usage is reported by this node")
+	return nil
+}
+
+// save writes the counts of the windows that are not closed yet.
+func (c *Closer) save(ctx context.Context, g leaser.Grant) error {
+	now := c.Clock.Now()
+	if now.Sub(c.held.saved) < c.Settings.SaveEvery {
+		return nil
+	}
+	var s open
+	for _, window := range c.Ledger.Windows() {
+		if c.held.closed[window] == nil {
+			s.counts = append(s.counts, c.Ledger.Window(window)...)
+		}
+	}
+	if len(s.counts) == 0 {
+		return nil
+	}
+	for window := range c.held.reported {
+		s.reported = append(s.reported, window)
+	}
+	tx := transactor.Tx{}.WithPut(openKey, encodeOpen(s))
+	_, err := c.Table.Commit(ctx, g.Guard(tx))
+	if err == nil {
+		c.held.saved = now
+	}
+	return err
+}
+
+// finish writes the figures of a window down and reports them.
+func (c *Closer) finish(ctx context.Context, g leaser.Grant, window int64) error {
+	counts, ok := c.held.closed[window]
+	if !ok {
+		counts = c.Ledger.Total(window)
+		key := windowKey(window)
+		_, err := c.Table.Commit(ctx, g.Guard(transactor.Tx{}.WithAbsent(key).WithPut(key, encodeWindow(counts))))
+		if err != nil {
+			// It may have taken effect: what stands is read before the next try.
+			c.held = tenure{}
+			return err
+		}
+		c.held.closed[window] = counts
+	}
+	if err := c.Reports.ReportUsage(ctx, g, window, counts); err != nil {
+		return err
+	}
+	c.held.reported[window] = true
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	c.Log.Info().Int64("window", window).Int("requests", total).Int("client-accounts", len(counts)).
+		Dur("after-ms", c.Now().Sub(c.Settings.end(window))).Msg("window reported")
+	return c.drop(ctx, g, window)
+}
+
+// keepWindows is how many closed windows stay written down.
+const keepWindows = 12
+
+// drop removes the figures of a window that nobody reports any more.
+func (c *Closer) drop(ctx context.Context, g leaser.Grant, newest int64) error {
+	tx, n := transactor.Tx{}, 0
+	for window := range c.held.closed {
+		if window <= newest-keepWindows && n < maxDrops {
+			tx = tx.WithDelete(windowKey(window))
+			delete(c.held.closed, window)
+			delete(c.held.reported, window)
+			n++
+		}
+	}
+	if n < maxDrops/2 {
+		return nil
+	}
+	_, err := c.Table.Commit(ctx, g.Guard(tx))
+	return err
+}
+
+// maxDrops bounds the rows that one commit removes.
+const maxDrops = 20
--- /dev/null
+++ b/internal/usage/ledger/ledger.go
@@ -0,0 +1,165 @@
+// Package ledger counts the requests that nodes have begun, by window of time
+// and client account.
+//
+// Each start of a node counts for itself, and its counts only grow. So counts
+// that arrive twice or late, from any node, can be merged by taking the
+// greatest, and the sum over all starts of all nodes is the usage of a window.
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+)
+
+// Ledger is the counts that a node knows.
+type Ledger struct {
+	// Self names this start of this node.
+	Self string
+
+	mu       sync.Mutex
+	revision uint64
+	rows     map[key]*row
+}
+
+type key struct {
+	window int64
+	node   string
+}
+
+// row is what one node has counted in one window.
+type row struct {
+	counts map[string]int
+	// revision is that of the ledger when the row last changed.
+	revision uint64
+	// local says that the node is in this node's data centre.
+	local bool
+}
+
+// Count notes that this node has begun a request in a window.
+func (l *Ledger) Count(window int64, account string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.row(key{window: window, node: l.Self}, true)
+	r.counts[account]++
+	l.revision++
+	r.revision = l.revision
+}
+
+// row returns a row, a new one if need be; the caller holds the lock.
+func (l *Ledger) row(k key, local bool) *row {
+	if l.rows == nil {
+		l.rows = make(map[key]*row)
+	}
+	r, ok := l.rows[k]
+	if !ok {
+		r = &row{counts: make(map[string]int), local: local}
+		l.rows[k] = r
+	}
+	return r
+}
+
+// Merge takes counts of other nodes; local says that they come from nodes of
+// this data centre.
+func (l *Ledger) Merge(counts []courier.NodeUsage, local bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range counts {
+		r := l.row(key{window: u.Window, node: u.Node}, local)
+		changed := false
+		for _, c := range u.Counts {
+			if c.Requests > r.counts[c.Account] {
+				r.counts[c.Account], changed = c.Requests, true
+			}
+		}
+		if changed {
+			l.revision++
+			r.revision = l.revision
+		}
+	}
+}
+
+// Since returns the counts of nodes of this data centre that have changed after
+// a revision, and the present revision. With own set it returns this node's.
+func (l *Ledger) Since(revision uint64, own bool) ([]courier.NodeUsage, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.revision == revision {
+		return nil, revision
+	}
+	var out []courier.NodeUsage
+	for k, r := range l.rows {
+		if r.revision > revision && r.local && (!own || k.node == l.Self) {
+			out = append(out, usage(k, r))
+		}
+	}
+	return sorted(out), l.revision
+}
+
+// Window returns the counts of a window by node.
+func (l *Ledger) Window(window int64) []courier.NodeUsage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []courier.NodeUsage
+	for k, r := range l.rows {
+		if k.window == window {
+			out = append(out, usage(k, r))
+		}
+	}
+	return sorted(out)
+}
+
+// Total returns the counts of a window by client account.
+func (l *Ledger) Total(window int64) map[string]int {
+	total := make(map[string]int)
+	for _, u := range l.Window(window) {
+		for _, c := range u.Counts {
+			total[c.Account] += c.Requests
+		}
+	}
+	return total
+}
+
+// Windows returns the windows that have counts, in order.
+func (l *Ledger) Windows() []int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var windows []int64
+	for k := range l.rows {
+		windows = append(windows, k.window)
+	}
+	slices.Sort(windows)
+	return slices.Compact(windows)
+}
+
+// Forget drops the windows before one.
+func (l *Ledger) Forget(before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := range l.rows {
+		if k.window < before {
+			delete(l.rows, k)
+		}
+	}
+}
+
+func usage(k key, r *row) courier.NodeUsage {
+	u := courier.NodeUsage{Node: k.node, Window: k.window}
+	for account, n := range r.counts {
+		u.Counts = append(u.Counts, courier.AccountCount{Account: account, Requests: n})
+	}
+	slices.SortFunc(u.Counts, func(a, b courier.AccountCount) int { return cmp.Compare(a.Account, b.Account) })
+	return u
+}
+
+func sorted(us []courier.NodeUsage) []courier.NodeUsage {
+	slices.SortFunc(us, func(a, b courier.NodeUsage) int {
+		if n := cmp.Compare(a.Window, b.Window); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.Node, b.Node)
+	})
+	return us
+}
