fleet, store: roles change unnoticed, tables survive a cut hub

An engine whose role changes refused everything and, being idle, attracted everything; it is now left alone by all nodes before the order goes out, and refusals in a row are backed off from. Dear workers make room for cheap ones. Followers of a hub share one pulse of the store, so that a hub that is cut off is left within the bound for leaving workers; a relay that was left never returned, as it waited for its stream before it ended it.

--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -310,7 +310,8 @@
 	}
 	due := d.since.Add(wait)
 	if now.Before(due) {
-		next := now.Add(l.times().RenewEvery)
+		// Two looks in the life of a lease are enough to see it unchanged.
+		next := now.Add((l.times().Duration + l.times().Margin) / 2)
 		if due.Before(next) {
 			next = due
 		}
--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -173,8 +173,8 @@
 	Attempts int
 	// RetryShare limits retries to this share of requests.
 	RetryShare float64
-	// RetryBurst is the number of retries that one node may make beyond that
-	// share in one burst; 0 means the reserve of a bucket.
+	// RetryBurst is the number of retries that all nodes together may make beyond
+	// that share in one burst; 0 means the reserve of a bucket for each node.
 	RetryBurst float64
 	// CountRefused says that an attempt which an endpoint refused counts against
 	// the retry budget like one that ran.
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -94,6 +94,12 @@
 	// base is what was in progress when the report was made.
 	base sample
 	past [samples]sample
+	// Changing says that an order of a new role is under way.
+	Changing bool
+	// Refusals counts refusals in a row; until RefusedUntil the endpoint is left
+	// alone after the last of them.
+	Refusals     int
+	RefusedUntil time.Time
 	// Failures counts failures in a row.
 	Failures int
 	// EjectedUntil is when an endpoint that failed may be tried again; the zero
@@ -154,7 +160,8 @@
 
 // WithSuccess returns a copy with no failures.
 func (e Endpoint) WithSuccess() Endpoint {
-	e.Failures = 0
+	e.Failures, e.Refusals = 0, 0
+	e.RefusedUntil = time.Time{}
 	e.EjectedUntil = time.Time{}
 	e.ProbeUntil = time.Time{}
 	return e
@@ -177,6 +184,28 @@
 	return e
 }
 
+// refusalWait is how long an endpoint is left alone after a first refusal; each
+// further one doubles it, up to maxRefusalWait.
+const (
+	refusalWait    = 100 * time.Millisecond
+	maxRefusalWait = 1600 * time.Millisecond
+)
+
+// WithRefusal returns a copy that has refused one more request for lack of room.
+func (e Endpoint) WithRefusal(now time.Time) Endpoint {
+	wait := refusalWait << min(e.Refusals, 10)
+	e.Refusals++
+	e.RefusedUntil = now.Add(min(wait, maxRefusalWait))
+	return e
+}
+
+// WithChanging returns a copy of which an order of a new role is under way, or
+// not.
+func (e Endpoint) WithChanging(changing bool) Endpoint {
+	e.Changing = changing
+	return e
+}
+
 // WithLeaving returns a copy that is leaving or not.
 func (e Endpoint) WithLeaving(leaving bool) Endpoint {
 	e.Leaving = leaving
--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -67,6 +67,7 @@
 	ReasonTried       Reason = "tried"
 	ReasonMemory      Reason = "memory"
 	ReasonLoaded      Reason = "loaded"
+	ReasonRefused     Reason = "refused"
 )
 
 // Choice is the decision for one request.
--- a/internal/decision/picker/plan.go
+++ b/internal/decision/picker/plan.go
@@ -1,5 +1,7 @@
 package picker
 
+import "time"
+
 // Plan is where the work of a request goes.
 type Plan struct {
 	// Run is the endpoint that answers.
@@ -10,6 +12,9 @@
 	// Fetch is the address of an endpoint from whose cache the one that reads
 	// the prompt can copy its beginning; empty means none.
 	Fetch string
+	// Wait is the time until an endpoint may take the request, where none can
+	// now; 0 means that none is expected to.
+	Wait time.Duration
 }
 
 // Sign is what an attempt tells of an endpoint.
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -74,7 +74,7 @@
 		return ReasonLeaving
 	case e.Draining:
 		return ReasonDraining
-	case e.Report.Changing:
+	case e.Report.Changing, e.Changing:
 		return ReasonChanging
 	case e.Ejected():
 		return ReasonEjected
@@ -154,6 +154,9 @@
 			return ReasonTried
 		}
 	}
+	if n.Now.Before(e.RefusedUntil) {
+		return ReasonRefused
+	}
 	if n.Pieces > 0 && !e.Report.At.IsZero() && e.Report.FreePieces < n.Pieces {
 		return ReasonMemory
 	}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -99,8 +99,28 @@
 	Engines []Candidate
 }
 
-// Plan returns where the request goes.
+// Plan returns where the request goes, or how long it has to wait for an engine.
 func (d Decision) Plan() picker.Plan {
+	p := d.now()
+	if !p.Run.OK {
+		p.Wait = d.wait()
+	}
+	return p
+}
+
+// wait returns the time until an engine that has refused work may take more.
+func (d Decision) wait() (least time.Duration) {
+	for _, e := range d.Engines {
+		w := e.RefusedUntil.Sub(d.Need.Now)
+		if picker.Status(e.Endpoint) == "" && e.Report.Role.Serves(picker.Decode) && w > 0 && (least == 0 || w < least) {
+			least = w
+		}
+	}
+	return least
+}
+
+// now returns where the request can go now.
+func (d Decision) now() picker.Plan {
 	holder := d.holder()
 	direct, directCost := d.direct(holder)
 	if d.Need.Direct || d.Engine.HandleLife <= 0 {
@@ -165,7 +185,7 @@
 
 // fit reports whether an engine takes new work of a phase.
 func (d Decision) fit(e Candidate, phase picker.Role) bool {
-	if picker.Status(e.Endpoint) != "" || !e.Report.Role.Serves(phase) {
+	if picker.Status(e.Endpoint) != "" || !e.Report.Role.Serves(phase) || d.Need.Now.Before(e.RefusedUntil) {
 		return false
 	}
 	for _, id := range d.Need.Tried {
--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -17,6 +17,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
@@ -42,12 +43,33 @@
 type State struct {
 	Deployment definer.Deployment
 	Endpoints  []picker.Endpoint
-	// Refused has the data centres in which the supplier lately had none of the
-	// tier Spot.
+	// Refused has the data centres in which the supplier had none of the tier
+	// Spot when it was last asked.
 	Refused map[string]bool
 	Now     time.Time
 }
 
+// idle reports whether no request is at any of the endpoints.
+func (s State) idle() bool {
+	for _, e := range s.Endpoints {
+		if e.Sent+e.Elsewhere.Requests > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// live returns the number of endpoints of a tier in a data centre that stay.
+func (s State) live(dataCentre string, tier definer.Tier) int {
+	n := 0
+	for _, e := range s.Endpoints {
+		if e.DataCentre == dataCentre && e.Tier == tier && picker.Status(e) != picker.ReasonLeaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Policy decides what is wanted; it is a pure function of its arguments.
 type Policy interface {
 	// Counts returns the numbers wanted; what is not named stays as it is.
@@ -77,9 +99,12 @@
 const (
 	// refusedFor is how long a data centre without cheap endpoints is left alone.
 	refusedFor = 3 * time.Second
-	// repeatAfter is when an order for endpoints is sent again though nothing
-	// differs that the holder knows of.
-	repeatAfter = 15 * time.Second
+	// repeatAfter is when an order for endpoints is sent again that the list does
+	// not show: it may have been lost, or there may have been too many to add all.
+	repeatAfter = 1500 * time.Millisecond
+	// noticeWait is how long an engine gets no new work before its role is
+	// ordered, so that all nodes have heard of it.
+	noticeWait = 900 * time.Millisecond
 	// changeWait is how long a change of role may take to show in the list
 	// beside the time that the engine is away.
 	changeWait = 3 * time.Second
@@ -102,7 +127,8 @@
 	// that may be under way, where engines do not refuse old fencing tokens.
 	TakeoverWait time.Duration
 
-	tenures map[string]*tenure
+	tenures  map[string]*tenure
+	changing keeper.Cell[map[string]bool]
 }
 
 // tenure is what the holder of a deployment's duty remembers.
@@ -127,7 +153,9 @@
 
 type change struct {
 	role picker.Role
-	at   time.Time
+	// at is when the engine was chosen, or its order sent where ordered is set.
+	at      time.Time
+	ordered bool
 }
 
 // Duties returns the duties of a configuration: one for each deployment whose
@@ -157,6 +185,7 @@
 		g, ok := r.Leases.Grant(Duty(d.Name))
 		if !ok {
 			delete(r.tenures, d.Name)
+			r.publish()
 			continue
 		}
 		if err := r.direct(ctx, g, d); err != nil {
@@ -188,8 +217,8 @@
 	now := r.Clock.Now()
 	t := r.tenure(g, d.Name)
 	s := State{Deployment: d, Endpoints: r.Of(d.Name), Now: now, Refused: make(map[string]bool)}
-	for dc, at := range t.refused {
-		s.Refused[dc] = now.Sub(at) < refusedFor
+	for dc := range t.refused {
+		s.Refused[dc] = true
 	}
 	if len(d.Placements) > 0 {
 		if err := r.count(ctx, g, t, s); err != nil {
@@ -206,8 +235,12 @@
 func (r *Director[P]) count(ctx context.Context, g leaser.Grant, t *tenure, s State) error {
 	for _, c := range r.Policy.Counts(s) {
 		p := place{dataCentre: c.DataCentre, tier: c.Tier}
+		if c.Tier == definer.Spot && s.Now.Sub(t.refused[c.DataCentre]) < refusedFor {
+			continue
+		}
 		last, ok := t.ordered[p]
-		if ok && last.want == c.Want && s.Now.Sub(last.at) < repeatAfter {
+		shown := s.live(c.DataCentre, c.Tier) == c.Want
+		if ok && last.want == c.Want && (shown || s.Now.Sub(last.at) < repeatAfter) {
 			continue
 		}
 		err := r.Supplier.Want(ctx, g, s.Deployment.Name, c)
@@ -225,36 +258,90 @@
 			return err
 		default:
 			t.ordered[p] = order{want: c.Want, at: s.Now}
+			if c.Tier == definer.Spot {
+				delete(t.refused, c.DataCentre)
+			}
 		}
 	}
 	return nil
 }
 
 // assign orders the roles that are wanted, few at a time.
+//
+// An engine first gets no new work; the order follows when all nodes have heard
+// of that.
 func (r *Director[P]) assign(ctx context.Context, g leaser.Grant, t *tenure, s State) error {
-	for _, e := range s.Endpoints {
-		c, ok := t.changing[e.ID]
-		if ok && (e.Report.Role == c.role || s.Now.Sub(c.at) > s.Deployment.RoleChange+changeWait) {
-			delete(t.changing, e.ID)
+	wanted := make(map[string]picker.Role)
+	for _, w := range r.Policy.Roles(s) {
+		wanted[w.Engine.ID] = w.Role
+	}
+	for id, c := range t.changing {
+		if t.ended(c, s, id, wanted) {
+			delete(t.changing, id)
 		}
 	}
 	most := max(len(s.Endpoints)/maxChanges, 1)
-	for _, w := range r.Policy.Roles(s) {
-		if _, ok := t.changing[w.Engine.ID]; ok || len(t.changing) >= most {
+	for _, e := range s.Endpoints {
+		role, ok := wanted[e.ID]
+		if _, under := t.changing[e.ID]; ok && !under && len(t.changing) < most {
+			t.changing[e.ID] = change{role: role, at: s.Now}
+		}
+	}
+	r.publish()
+	for _, e := range s.Endpoints {
+		c, ok := t.changing[e.ID]
+		if !ok || c.ordered || s.Now.Sub(c.at) < noticeWait && !s.idle() {
 			continue
 		}
-		accepted, err := r.Engines.Orders(ctx, w.Engine)
-		if err != nil {
+		c.ordered, c.at = true, s.Now
+		t.changing[e.ID] = c
+		if err := r.order(ctx, g, s, e, c.role); err != nil {
 			return err
 		}
-		t.changing[w.Engine.ID] = change{role: w.Role, at: s.Now}
-		err = r.Engines.SetRole(ctx, g, w.Engine, w.Role, accepted)
-		r.Log.Info().Str("decision", "roles").Str("deployment", s.Deployment.Name).Str("endpoint", w.Engine.ID).
-			Str("role", string(w.Role)).Str("before", string(w.Engine.Report.Role)).Uint64("accepted", accepted).
-			Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("role ordered")
-		if coder.Is(err, coder.StaleFencing) || coder.Is(err, coder.LeaseNotHeld) {
-			return err
+	}
+	return nil
+}
+
+// ended reports whether nothing more is to be awaited of a change.
+func (t *tenure) ended(c change, s State, id string, wanted map[string]picker.Role) bool {
+	for _, e := range s.Endpoints {
+		if e.ID != id {
+			continue
+		}
+		if !c.ordered {
+			return wanted[id] != c.role && e.Report.Role != c.role
 		}
+		return e.Report.Role == c.role || s.Now.Sub(c.at) > s.Deployment.RoleChange+changeWait
+	}
+	return true
+}
+
+// order orders the role of one engine.
+func (r *Director[P]) order(ctx context.Context, g leaser.Grant, s State, e picker.Endpoint, role picker.Role) error {
+	accepted, err := r.Engines.Orders(ctx, e)
+	if err != nil {
+		return err
+	}
+	err = r.Engines.SetRole(ctx, g, e, role, accepted)
+	r.Log.Info().Str("decision", "roles").Str("deployment", s.Deployment.Name).Str("endpoint", e.ID).
+		Str("role", string(role)).Str("before", string(e.Report.Role)).Uint64("accepted", accepted).
+		Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("role ordered")
+	if coder.Is(err, coder.StaleFencing) || coder.Is(err, coder.LeaseNotHeld) {
+		return err
 	}
 	return nil
 }
+
+// Changing returns the engines whose role this node is changing.
+func (r *Director[P]) Changing() map[string]bool { return r.changing.Get() }
+
+// publish lets other parts see which engines change.
+func (r *Director[P]) publish() {
+	changing := make(map[string]bool)
+	for _, t := range r.tenures {
+		for id := range t.changing {
+			changing[id] = true
+		}
+	}
+	r.changing.Update(func(map[string]bool) (map[string]bool, bool) { return changing, true })
+}
--- a/internal/fleet/director/policy.go
+++ b/internal/fleet/director/policy.go
@@ -24,28 +24,29 @@
 }
 
 // Counts returns the numbers wanted in each data centre.
+//
+// A dear endpoint leaves when a cheap one has taken its place.
 func (p Steady) Counts(s State) []Count {
 	var counts []Count
 	for _, dc := range dataCentres(s.Deployment) {
 		most, least := bounds(s.Deployment, dc)
 		want := min(max(p.PerDataCentre, least), most)
-		ready := 0
-		for _, e := range s.Endpoints {
-			if e.DataCentre == dc && e.Tier == definer.Spot && picker.Status(e) != picker.ReasonLeaving {
-				ready++
+		cheap := s.live(dc, definer.Spot)
+		dear := max(want-cheap, 0)
+		if have := s.live(dc, definer.OnDemand); !s.Refused[dc] {
+			// More dear ones are only ordered while cheap ones are not to be had,
+			// and make room for cheap ones where there may be no more of both.
+			dear = min(dear, have)
+			if have+cheap >= most {
+				dear = min(dear, max(have-cheap, 0))
+			}
+			if s.idle() {
+				dear = 0
 			}
 		}
-		spot, dear := want, 0
-		if s.Refused[dc] && ready == 0 {
-			spot, dear = 0, min(want, most)
-		} else if ready < want {
-			// The dear ones stay until the cheap ones have come.
-			dear = -1
-		}
-		counts = append(counts, Count{DataCentre: dc, Tier: definer.Spot, Want: spot})
-		if dear >= 0 {
-			counts = append(counts, Count{DataCentre: dc, Tier: definer.OnDemand, Want: dear})
-		}
+		counts = append(counts,
+			Count{DataCentre: dc, Tier: definer.Spot, Want: want},
+			Count{DataCentre: dc, Tier: definer.OnDemand, Want: dear})
 	}
 	return counts
 }
@@ -70,6 +71,22 @@
 	return most, least
 }
 
+// shift returns how many engines of a data centre should change their role. A
+// share between two whole numbers allows both, so that an engine which comes or
+// goes changes no other.
+func (p Steady) shift(engines, readers int) (from, to picker.Role, n int) {
+	if engines < 2 {
+		return picker.Both, picker.Both, 0
+	}
+	share := p.ReadShare * float64(engines)
+	least := min(max(int(math.Floor(share)), 1), engines-1)
+	most := min(max(int(math.Ceil(share)), 1), engines-1)
+	if readers < least {
+		return picker.Decode, picker.Prefill, least - readers
+	}
+	return picker.Prefill, picker.Decode, max(readers-most, 0)
+}
+
 // Roles returns changes that bring the share of readers in each data centre to
 // what is wanted.
 func (p Steady) Roles(s State) []Role {
@@ -79,7 +96,7 @@
 	}
 	by := make(map[string][]picker.Endpoint)
 	for _, e := range s.Endpoints {
-		if picker.Status(e) == "" && e.Report.Role != picker.Both {
+		if status := picker.Status(e); (status == "" || status == picker.ReasonChanging) && e.Report.Role != picker.Both {
 			by[e.DataCentre] = append(by[e.DataCentre], e)
 		}
 	}
@@ -91,14 +108,7 @@
 				readers++
 			}
 		}
-		want := min(max(int(math.Round(p.ReadShare*float64(len(engines)))), 1), len(engines)-1)
-		from, to, n := picker.Decode, picker.Prefill, want-readers
-		if n < 0 {
-			from, to, n = picker.Prefill, picker.Decode, -n
-		}
-		if len(engines) < 2 {
-			n = 0
-		}
+		from, to, n := p.shift(len(engines), readers)
 		// The least busy change first.
 		slices.SortFunc(engines, func(a, b picker.Endpoint) int {
 			return cmp.Or(cmp.Compare(a.Sent+a.Elsewhere.Requests, b.Sent+b.Elsewhere.Requests), cmp.Compare(a.ID, b.ID))
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -148,9 +148,12 @@
 	case picker.SignGood:
 		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithSuccess() })
 		return
-	case picker.SignNone, picker.SignFull:
+	case picker.SignNone:
 		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work) })
 		return
+	case picker.SignFull:
+		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithRefusal(now) })
+		return
 	case picker.SignReplaced:
 		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDone(work).WithLeaving(true) })
 		return
@@ -179,11 +182,18 @@
 	})
 }
 
-// SetElsewhere notes what the other nodes have in progress at an endpoint.
-func (o *Observer) SetElsewhere(id string, reading, requests int, at time.Time) {
-	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) {
-		return e.WithElsewhere(picker.Elsewhere{At: at, Reading: reading, Requests: requests}), ok
-	})
+// SetElsewhere notes what the other nodes have in progress at an endpoint, and
+// whether they say that its role is being changed.
+func (o *Observer) SetElsewhere(id string, w picker.Elsewhere, changing bool) {
+	e, ok := o.Table.Get(id)
+	if !ok {
+		return
+	}
+	if e.Changing != changing {
+		o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithElsewhere(w).WithChanging(changing) })
+		return
+	}
+	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) { return e.WithElsewhere(w), ok })
 }
 
 // ejectedShare is the divisor of the endpoints that may be ejected at once: a
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -73,11 +73,11 @@
 }
 
 func encodeEngine(e EngineWork) *EngineMessage {
-	return &EngineMessage{Engine: uint32(e.Engine), Reading: count(e.Reading), Requests: count(e.Requests)}
+	return &EngineMessage{Engine: uint32(e.Engine), Reading: count(e.Reading), Requests: count(e.Requests), Changing: e.Changing}
 }
 
 func decodeEngine(m *EngineMessage) EngineWork {
-	return EngineWork{Engine: Engine(m.GetEngine()), Reading: int(m.GetReading()), Requests: int(m.GetRequests())}
+	return EngineWork{Engine: Engine(m.GetEngine()), Reading: int(m.GetReading()), Requests: int(m.GetRequests()), Changing: m.GetChanging()}
 }
 
 func encodeBeginning(b Beginning) *BeginningMessage {
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -38,6 +38,8 @@
 	// Reading is the prompt tokens that are still to be read.
 	Reading  int
 	Requests int
+	// Changing says that an order of a new role is under way.
+	Changing bool
 }
 
 // Beginning says that an engine has worked on beginnings of prompts.
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -127,6 +127,7 @@
 			}
 			out[i].Reading += e.Reading
 			out[i].Requests += e.Requests
+			out[i].Changing = out[i].Changing || e.Changing
 		}
 	}
 	return out
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -102,6 +102,7 @@
 	configs   *follower.Follower
 	endpoints *follower.Follower
 	config    keeper.Cell[loaded]
+	pulse     follower.Pulse
 	lister    *lister.Lister
 	observer  *observer.Observer
 	index     *indexer.Index
@@ -110,7 +111,7 @@
 	members   members
 	duties    duties
 	stopping  atomic.Bool
-	// turn counts the nodes that were asked for tables.
+	// turn counts the nodes that have failed as sources of tables.
 	turn atomic.Uint64
 
 	callers net.Listener
@@ -125,9 +126,12 @@
 
 // The times of following the store.
 const (
-	// watchWait bounds a watch, so that a silent one is noticed within the bound
-	// for a change of the configuration.
-	watchWait = 2 * time.Second
+	// configWait bounds the watch of the configuration, so that a silent store is
+	// noticed long before the bounds for changes and leaving endpoints.
+	configWait = 800 * time.Millisecond
+	// listWait bounds the watches of the other tables: that of the configuration
+	// shows whether the store answers.
+	listWait = 8 * time.Second
 	// refreshEvery is how often a table is read whole although its watch works.
 	refreshEvery = 20 * time.Second
 	// watchRetry is the delay after a call of the store that failed.
@@ -141,8 +145,8 @@
 // New builds a node and opens its listeners.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, ports: p, clock: clock, log: log}
-	n.configs = n.follow(p.ConfigKey, n.applyConfig)
-	n.endpoints = n.follow(p.EndpointPrefix, n.applyEndpoints)
+	n.configs = n.follow(p.ConfigKey, configWait, n.applyConfig)
+	n.endpoints = n.follow(p.EndpointPrefix, listWait, n.applyEndpoints)
 	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, Lapse: s.Lapse}
 	n.observer = &observer.Observer{
 		Clock: clock,
@@ -167,11 +171,11 @@
 }
 
 // follow returns what follows a table.
-func (n *Node) follow(prefix string, apply func(follower.Snapshot)) *follower.Follower {
+func (n *Node) follow(prefix string, wait time.Duration, apply func(follower.Snapshot)) *follower.Follower {
 	return &follower.Follower{
 		OnClock: n.readClock,
-		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Relay: relay{n},
-		Wait: watchWait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
+		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Pulse: &n.pulse, Relay: relay{n},
+		Wait: wait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
 	}
 }
 
@@ -263,6 +267,7 @@
 		Engines:   n.ports.Engines,
 		Random:    rand.Float64,
 		Begun:     n.begun,
+		Nodes:     func() int { return n.members.collector.Count() },
 	}
 }
 
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -12,6 +12,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/collector"
@@ -56,9 +57,9 @@
 		Self:  self,
 		Nodes: m.registrar,
 		Links: streams{m.links},
-		Work:  work{observer: n.observer, index: n.index},
+		Work:  work{observer: n.observer, index: n.index, changing: func() map[string]bool { return n.duties.director.Changing() }},
 	}
-	m.nodes = n.follow(registrar.Prefix, m.registrar.Apply)
+	m.nodes = n.follow(registrar.Prefix, listWait, m.registrar.Apply)
 	m.server = courier.NewServer(peers{n})
 	return nil
 }
@@ -96,14 +97,19 @@
 type work struct {
 	observer *observer.Observer
 	index    *indexer.Index
+	// changing returns the engines whose role this node is changing.
+	changing func() map[string]bool
 }
 
 // Engines returns what this node has in progress.
 func (w work) Engines() []courier.EngineWork {
 	var out []courier.EngineWork
+	changing := w.changing()
 	for _, e := range w.observer.All() {
-		if e.Sent > 0 || e.SentWork > 0 {
-			out = append(out, courier.EngineWork{Engine: courier.EngineOf(e.ID), Reading: e.SentWork, Requests: e.Sent})
+		if e.Sent > 0 || e.SentWork > 0 || changing[e.ID] {
+			out = append(out, courier.EngineWork{
+				Engine: courier.EngineOf(e.ID), Reading: e.SentWork, Requests: e.Sent, Changing: changing[e.ID],
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b courier.EngineWork) int { return int(int64(a.Engine) - int64(b.Engine)) })
@@ -116,9 +122,11 @@
 	for _, e := range engines {
 		by[e.Engine] = e
 	}
+	changing := w.changing()
 	for _, e := range w.observer.All() {
 		o := by[courier.EngineOf(e.ID)]
-		w.observer.SetElsewhere(e.ID, o.Reading, o.Requests, at)
+		elsewhere := picker.Elsewhere{At: at, Reading: o.Reading, Requests: o.Requests}
+		w.observer.SetElsewhere(e.ID, elsewhere, o.Changing || changing[e.ID])
 	}
 }
 
@@ -171,24 +179,35 @@
 	return r.other()
 }
 
-// other returns the address of a node other than this one, another each time;
-// before any is known, that of a seed.
+// other returns the address of a node of another data centre, the first of each
+// before the others, as that is probably its hub; before any is known, that of a
+// seed. Another one is returned after each failure.
 func (r relay) other() string {
-	var addresses []string
-	for _, n := range r.node.members.registrar.Nodes() {
-		if n.ID != r.node.settings.ID {
-			addresses = append(addresses, n.Address)
+	m := r.node.members
+	var addresses, rest []string
+	for _, name := range m.registrar.DataCentres() {
+		for i, n := range m.registrar.Of(name) {
+			switch {
+			case n.ID == r.node.settings.ID:
+			case i == 0 && name != r.node.settings.DataCentre:
+				addresses = append(addresses, n.Address)
+			default:
+				rest = append(rest, n.Address)
+			}
 		}
 	}
-	if len(addresses) == 0 {
+	if addresses = append(addresses, rest...); len(addresses) == 0 {
 		addresses = r.node.settings.Seeds
 	}
 	if len(addresses) == 0 {
 		return ""
 	}
-	return addresses[r.node.turn.Add(1)%uint64(len(addresses))]
+	return addresses[r.node.turn.Load()%uint64(len(addresses))]
 }
 
+// Failed has another node returned next.
+func (r relay) Failed(string) { r.node.turn.Add(1) }
+
 // Follow takes content from a node.
 func (r relay) Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.Content)) error {
 	return r.node.members.links.Follow(ctx, address, prefix, changed, take)
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -45,9 +45,7 @@
 // Choose returns the endpoint for the next attempt.
 func (c Chooser) Choose(r carrier.Request, p carrier.Progress) picker.Plan {
 	if r.Route.Kind == definer.Model && len(r.Parts) > 0 {
-		if plan := c.place(r, p); plan.Run.OK {
-			return plan
-		}
+		return c.place(r, p)
 	}
 	need := picker.Need{
 		RequestID:  r.ID,
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"time"
+
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
@@ -45,6 +47,9 @@
 			continue
 		}
 		if !plan.Run.OK {
+			if d.await(c, plan.Wait) {
+				continue
+			}
 			if c.result.Err == nil {
 				c.result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint can take the request").WithRetryAfter(rule.Backoff)
 			}
@@ -60,6 +65,22 @@
 	return c.result
 }
 
+// await waits until an endpoint may take the request, and reports whether that
+// is worth it: not once the request is late or its caller has left.
+func (d *Dispatcher) await(c *course, wait time.Duration) bool {
+	r := c.job.request
+	until := r.Deadline
+	if r.Route.Target > 0 {
+		until = r.Arrived.Add(r.Route.Target)
+	}
+	if wait <= 0 || d.Clock.Now().Add(wait).After(until) {
+		return false
+	}
+	// An endpoint that has refused the request may have room by then.
+	c.progress.Tried = nil
+	return d.Clock.Sleep(c.job.ctx, wait) == nil
+}
+
 // passHeld passes on the answer of an endpoint that failed the request, where
 // nothing better came.
 func (d *Dispatcher) passHeld(c *course) {
@@ -277,9 +298,12 @@
 
 // payOut takes a retry out of the budget, if there is one.
 func (d *Dispatcher) payOut(r carrier.Request, rule definer.Rule) (paid bool) {
-	reserve := rule.RetryBurst
-	if reserve == 0 {
-		reserve = retrier.Reserve
+	reserve := float64(retrier.Reserve)
+	if rule.RetryBurst > 0 {
+		reserve = rule.RetryBurst
+		if d.Nodes != nil {
+			reserve /= float64(d.Nodes())
+		}
 	}
 	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
 		b, paid = b.WithRetry(reserve)
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -103,6 +104,8 @@
 	// Source returns the address of the node to take the table from; empty means
 	// the store. With away set the store does not answer this node.
 	Source(away bool) string
+	// Failed notes that the node at an address has failed as a source.
+	Failed(address string)
 	// Follow takes content from the node at an address until ctx is done or the
 	// stream breaks.
 	Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.Content)) error
@@ -120,6 +123,8 @@
 	Refresh time.Duration
 	// Retry is the delay after a call that failed.
 	Retry time.Duration
+	// Pulse is shared by the followers of a node.
+	Pulse *Pulse
 	// Relay may be nil.
 	Relay Relay
 	// OnClock is called with each reading of the store's clock; nil means nothing.
@@ -153,30 +158,24 @@
 
 // step reads the table once, or waits once for a change.
 func (f *Follower) step(ctx context.Context) error {
+	ctx, end := f.Pulse.begin(ctx)
+	defer end()
 	s := f.state.Get()
 	now := f.Clock.Now()
 	if !s.Loaded() || f.read.IsZero() || now.Sub(f.read) >= f.Refresh {
-		c, err := f.Feed.Read(ctx, f.Prefix)
-		if err != nil {
-			return err
-		}
-		f.read = now
-		f.clock(c)
-		f.take(func(s Snapshot) Snapshot {
-			if c.Version < s.Version {
-				return s
-			}
-			return s.withAll(c)
-		})
-		return nil
+		return f.readAll(ctx, now)
 	}
 	c, err := f.Feed.Watch(ctx, f.Prefix, s.Version, f.Wait)
-	if coder.Is(err, coder.HistoryGone) {
+	switch {
+	case coder.Is(err, coder.HistoryGone):
 		f.read = time.Time{}
 		f.Log.Info().Str("table", f.Prefix).Uint64("version", s.Version).Msg("history gone; the table is read again")
 		return nil
-	}
-	if err != nil {
+	case err != nil && errors.Is(context.Cause(ctx), errBroken):
+		// A plain read tells sooner whether the store answers.
+		f.read = time.Time{}
+		return nil
+	case err != nil:
 		return err
 	}
 	f.clock(c)
@@ -186,6 +185,23 @@
 	return nil
 }
 
+// readAll reads the whole table.
+func (f *Follower) readAll(ctx context.Context, now time.Time) error {
+	c, err := f.Feed.Read(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.read = now
+	f.clock(c)
+	f.take(func(s Snapshot) Snapshot {
+		if c.Version < s.Version {
+			return s
+		}
+		return s.withAll(c)
+	})
+	return nil
+}
+
 func (f *Follower) clock(c transactor.Changes) {
 	if f.OnClock != nil && c.Clock > 0 {
 		f.OnClock(c.Clock)
@@ -195,6 +211,7 @@
 // take stores what the store has told.
 func (f *Follower) take(change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
+	f.Pulse.answered(now)
 	f.store(func(s Snapshot) Snapshot {
 		if s.Away() {
 			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.AwaySince)).Msg("store answers again")
@@ -219,6 +236,9 @@
 // failed notes that the store did not answer, and waits.
 func (f *Follower) failed(ctx context.Context, err error) {
 	now := f.Clock.Now()
+	if coder.Of(err).Code() == coder.PlatformUnavailable {
+		f.Pulse.failed(now)
+	}
 	f.store(func(s Snapshot) Snapshot {
 		if !s.Away() {
 			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store does not answer")
@@ -229,5 +249,7 @@
 		}
 		return s
 	})
+	// A plain read fails sooner than a watch.
+	f.read = time.Time{}
 	_ = f.Clock.Sleep(ctx, f.Retry)
 }
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -19,7 +19,10 @@
 	// silentAfter is how long a source may be silent, and how old what it has may
 	// be before the store is asked.
 	silentAfter = 1200 * time.Millisecond
-	staleAfter  = 3500 * time.Millisecond
+	staleAfter  = 1500 * time.Millisecond
+	// probeEvery is how often a node that the store does not answer tries it
+	// beside taking the table from another node.
+	probeEvery = 1500 * time.Millisecond
 	// shunFor is how long a source that has failed is not asked again.
 	shunFor = 3 * time.Second
 )
@@ -39,11 +42,16 @@
 // relay takes the table from a node until that fails or another source is due.
 func (f *Follower) relay(ctx context.Context, address string) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	// What the store has told before is old by the time it is asked again.
+	defer func() { f.read = time.Time{} }()
+	started := f.Clock.Now()
 	heard := make(chan courier.Content)
 	var failure error
 	var wg conc.WaitGroup
-	defer wg.Wait()
+	defer func() {
+		cancel()
+		wg.Wait()
+	}()
 	wg.Go(func() {
 		defer close(heard)
 		failure = f.Relay.Follow(ctx, address, f.Prefix, f.state.Get().Changed, func(c courier.Content) {
@@ -65,7 +73,7 @@
 				return
 			}
 			f.takeContent(c)
-			if f.source() != address {
+			if f.source() != address || f.state.Get().Away() && f.Clock.Now().Sub(started) >= probeEvery {
 				return
 			}
 		case <-f.Clock.After(silentAfter):
@@ -86,7 +94,7 @@
 		f.shun = make(map[string]time.Time)
 	}
 	f.shun[address] = now.Add(shunFor)
-	f.read = time.Time{}
+	f.Relay.Failed(address)
 }
 
 // takeContent takes what another node has sent.
@@ -94,8 +102,8 @@
 	now := f.Clock.Now()
 	f.store(func(s Snapshot) Snapshot {
 		s.ConfirmedAt = now.Add(-c.Age)
-		if s.Away() || c.Back > 0 {
-			s.BackSince = now.Add(-c.Back)
+		if back := now.Add(-c.Back); c.Back > 0 && !s.Away() && back.After(s.BackSince) {
+			s.BackSince = back
 		}
 		if c.Changed <= s.Changed && s.Loaded() {
 			return s
@@ -118,7 +126,7 @@
 		s, next := f.state.Changed()
 		if s.Loaded() {
 			c := s.since(sent)
-			c.Age = f.Clock.Now().Sub(s.ConfirmedAt)
+			c.Age = f.Clock.Now().Sub(f.confirmed(s))
 			if !s.BackSince.IsZero() {
 				c.Back = max(f.Clock.Now().Sub(s.BackSince), time.Millisecond)
 			}
@@ -137,6 +145,15 @@
 	return ctx.Err()
 }
 
+// confirmed returns when the store has confirmed a snapshot: while the watch of
+// the table is open, any answer of the store does.
+func (f *Follower) confirmed(s Snapshot) time.Time {
+	if s.Away() || f.source() != "" {
+		return s.ConfirmedAt
+	}
+	return f.Pulse.confirmed(s.ConfirmedAt)
+}
+
 // await waits until the content has changed, or the other node should hear.
 func (f *Follower) await(ctx context.Context, next <-chan struct{}, changed uint64) error {
 	rest := f.Clock.After(restEvery)
