--- a/internal/fleet/director/policy.go
+++ b/internal/fleet/director/policy.go
@@ -24,33 +24,36 @@
 }
 
 // Counts returns the numbers wanted in each data centre.
-//
-// A dear endpoint leaves when a cheap one has taken its place.
 func (p Steady) Counts(s State) []Count {
 	var counts []Count
 	for _, dc := range dataCentres(s.Deployment) {
 		most, least := bounds(s.Deployment, dc)
 		want := min(max(p.PerDataCentre, least), most)
-		cheap := s.live(dc, definer.Spot)
-		dear := max(want-cheap, 0)
-		if have := s.live(dc, definer.OnDemand); !s.Refused[dc] {
-			// More dear ones are only ordered while cheap ones are not to be had,
-			// and make room for cheap ones where there may be no more of both.
-			dear = min(dear, have)
-			if have+cheap >= most {
-				dear = min(dear, max(have-cheap, 0))
-			}
-			if s.idle() {
-				dear = 0
-			}
-		}
 		counts = append(counts,
 			Count{DataCentre: dc, Tier: definer.Spot, Want: want},
-			Count{DataCentre: dc, Tier: definer.OnDemand, Want: dear})
+			Count{DataCentre: dc, Tier: definer.OnDemand, Want: p.dear(s, dc, want, most)})
 	}
 	return counts
 }
 
+// dear returns the number of dear endpoints wanted in a data centre.
+//
+// They stand in for cheap ones while those are not to be had. Else one leaves
+// for each cheap one that has come, and half of them where cheap ones have no
+// room.
+func (p Steady) dear(s State, dc string, want, most int) int {
+	cheap, have := s.live(dc, definer.Spot), s.live(dc, definer.OnDemand)
+	switch {
+	case s.Refused[dc]:
+		return max(want-cheap, 0)
+	case s.idle():
+		return 0
+	case have+cheap >= most:
+		return max(have-max(cheap, (most+1)/2), 0)
+	}
+	return min(max(want-cheap, 0), have)
+}
+
 // dataCentres returns the data centres of a deployment's placements, in order.
 func dataCentres(d definer.Deployment) []string {
 	var names []string
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -89,7 +89,7 @@
 		Of:           n.observer.Of,
 		Supplier:     receivers,
 		Engines:      receivers,
-		Policy:       director.Steady{PerDataCentre: 6, ReadShare: 0.6},
+		Policy:       director.Steady{PerDataCentre: 8, ReadShare: 0.6},
 		TakeoverWait: n.settings.Lease,
 	}
 }
