--- a/internal/base/linker/exchange.go
+++ b/internal/base/linker/exchange.go
@@ -213,7 +213,7 @@
 
 func (x *exchange) read(method string, o Options) (*Answer, error) {
 	for range maxForeign + 1 {
-		resp, err := x.readHead(method)
+		resp, err := x.readHead(method) //nolint:bodyclose // The caller closes the body of the answer.
 		if err != nil {
 			return nil, err
 		}
