--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -79,6 +79,9 @@
 	spread = 20.0
 	// spreadTokens is the size of a beginning from which on that matters.
 	spreadTokens = 1000
+	// directMost is the most tokens that an engine reads which also answers, where
+	// others can read: all answers that come to it meanwhile wait until it has.
+	directMost = 512
 	// minCopy is the least number of tokens that are worth copying.
 	minCopy = 512
 	// otherWork is the prompt tokens that a request of another node has left to
@@ -130,7 +133,7 @@
 		return picker.Plan{Run: d.choice(d.run(d.source()), "takes the prompt over")}
 	}
 	reader, readCost := d.reader(holder)
-	if reader < 0 || direct >= 0 && directCost <= readCost {
+	if reader < 0 || direct >= 0 && directCost <= readCost && d.left(direct, holder) <= directMost {
 		return d.plan(direct, -1, holder)
 	}
 	return d.plan(d.run(reader), reader, holder)
@@ -255,16 +258,19 @@
 	return 0
 }
 
+// left returns the tokens that an engine has to read of the prompt.
+func (d Decision) left(i, holder int) int {
+	return max(d.Need.Prompt-d.Engines[i].Held-d.copies(i, holder), 0)
+}
+
 // reading is the cost of reading the prompt at an engine, with what waits there.
 func (d Decision) reading(i, holder int, rate float64) cost {
 	e := d.Engines[i]
-	left := d.Need.Prompt - e.Held
-	c := d.waiting(e) / rate
+	left := d.left(i, holder)
+	c := (d.waiting(e) + float64(left)) / rate
 	if n := d.copies(i, holder); n > 0 {
-		left -= n
 		c += d.copying(n, e.DataCentre != d.Engines[holder].DataCentre)
 	}
-	c += float64(max(left, 0)) / rate
 	if left > spreadTokens {
 		c += spread * score(d.Need.Key, e.ID)
 	}
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -185,6 +185,12 @@
 	// Endpoint is where the answer came from.
 	Endpoint string
 	Usage    Usage
+	// ReadAt is when another engine had read the prompt, FirstAt when the first
+	// piece of a good answer came; both are zero where that did not happen.
+	ReadAt  time.Time
+	FirstAt time.Time
+	// Attempts is the number of attempts at endpoints.
+	Attempts int
 	// Err is nil if the caller was sent the whole answer.
 	Err error
 }
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -87,7 +87,7 @@
 	if c.result.Err == nil || c.result.Begun || !c.held.Held() || c.job.ctx.Err() != nil {
 		return
 	}
-	c.result = carrier.Result{Begun: true, Whole: true, Status: c.held.Head.Status, Endpoint: c.result.Endpoint}
+	c.result.Begun, c.result.Whole, c.result.Status = true, true, c.held.Head.Status
 	c.result.Err = c.reply.Begin(c.job.ctx, c.held.Head)
 	if c.result.Err == nil && len(c.held.Body) > 0 {
 		c.result.Err = c.reply.Write(c.job.ctx, c.held.Body)
@@ -158,6 +158,7 @@
 	a.OnFirst = func() {
 		d.Endpoints.Read(e.ID, w)
 		w = 0
+		c.result.FirstAt = d.Clock.Now()
 		d.begun(c)
 	}
 	d.Endpoints.Sent(e.ID, w)
@@ -173,6 +174,7 @@
 // note tells what an attempt says of its endpoint.
 func (d *Dispatcher) note(c *course, e picker.Endpoint, work int, rep forwarder.Report) {
 	c.sends++
+	c.result.Attempts = c.sends
 	if rep.Loaded {
 		d.Endpoints.Report(e.ID, rep.Load)
 	}
--- a/internal/request/dispatcher/read.go
+++ b/internal/request/dispatcher/read.go
@@ -41,6 +41,7 @@
 	if err == nil {
 		c.source = readPrompt{handle: h, endpoint: e}
 		c.progress.Source = h
+		c.result.ReadAt = d.Clock.Now()
 		// The first prompt that is read costs nothing of the budget.
 		c.sends--
 		return true
