--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -46,7 +46,10 @@
 	Source string
 	// Direct says that the engine which answers has to read the prompt.
 	Direct bool
-	Now    time.Time
+	// Left is the time until the answer is late; 0 means that it has none, or is
+	// late already.
+	Left time.Duration
+	Now  time.Time
 }
 
 // Candidate is an endpoint with what it probably holds of the prompt.
@@ -68,8 +71,8 @@
 	headBytes = 900
 	// copyWeight and crossCopyWeight weigh a GB of engine memory that is copied
 	// within and between data centres, beside the time it takes.
-	copyWeight      = 4.0
-	crossCopyWeight = 10.0
+	copyWeight      = 20.0
+	crossCopyWeight = 35.0
 	// requestWeight is what a request in work slows the others of an engine.
 	requestWeight = 0.8
 	// queueWeight is what a request costs that has to wait for a slot.
@@ -82,6 +85,12 @@
 	// directMost is the most tokens that an engine reads which also answers, where
 	// others can read: all answers that come to it meanwhile wait until it has.
 	directMost = 512
+	// overflowFrom is the size of a prompt from which on it delays others so much
+	// that it matters where it is read once it is late.
+	overflowFrom = 2000
+	// firstToken is the time from the taking over of a prompt to the first event,
+	// in milliseconds.
+	firstToken = 40
 	// minCopy is the least number of tokens that are worth copying.
 	minCopy = 512
 	// otherWork is the prompt tokens that a request of another node has left to
@@ -133,6 +142,9 @@
 		return picker.Plan{Run: d.choice(d.run(d.source()), "takes the prompt over")}
 	}
 	reader, readCost := d.reader(holder)
+	if over := d.overflow(reader, holder); over >= 0 {
+		return d.plan(d.run(over), over, holder)
+	}
 	if reader < 0 || direct >= 0 && directCost <= readCost && d.left(direct, holder) <= directMost {
 		return d.plan(direct, -1, holder)
 	}
@@ -232,6 +244,34 @@
 	})
 }
 
+// overflow returns the engine for a prompt that will be late wherever it is
+// read: the one with the most waiting in the data centre, so that late answers
+// delay each other and not those that can still be in time. It returns -1 if
+// the prompt is in time at the best engine.
+func (d Decision) overflow(best, holder int) int {
+	if best < 0 || d.Need.Prompt < overflowFrom {
+		return -1
+	}
+	late := d.Need.Left <= 0
+	if !late {
+		first := d.service(best, holder, d.Rates.Read) + float64(d.Rates.Handover.Milliseconds()) + firstToken
+		late = first > float64(d.Need.Left.Milliseconds())
+	}
+	if !late {
+		return -1
+	}
+	over, most := -1, 0.0
+	for i, e := range d.Engines {
+		if !d.fit(e, picker.Prefill) || e.DataCentre != d.Engines[best].DataCentre {
+			continue
+		}
+		if w := d.waiting(e) + score(0, e.ID); over < 0 || w > most {
+			over, most = i, w
+		}
+	}
+	return over
+}
+
 // run returns the engine that best answers a prompt which another has read.
 func (d Decision) run(reader int) int {
 	best, _ := d.best(picker.Decode, func(i int) cost { return d.running(i, reader) })
@@ -267,7 +307,7 @@
 func (d Decision) reading(i, holder int, rate float64) cost {
 	e := d.Engines[i]
 	left := d.left(i, holder)
-	c := (d.waiting(e) + float64(left)) / rate
+	c := d.service(i, holder, rate)
 	if n := d.copies(i, holder); n > 0 {
 		c += d.copying(n, e.DataCentre != d.Engines[holder].DataCentre)
 	}
@@ -277,6 +317,11 @@
 	return c
 }
 
+// service is the time until an engine has read the prompt, in milliseconds.
+func (d Decision) service(i, holder int, rate float64) cost {
+	return (d.waiting(d.Engines[i]) + float64(d.left(i, holder))) / rate
+}
+
 // waiting estimates the prompt tokens that an engine has to read before.
 func (d Decision) waiting(e Candidate) float64 {
 	if d.heard(e) {
--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,9 @@
 	// Refused has the data centres in which the supplier had none of the tier
 	// Spot when it was last asked.
 	Refused map[string]bool
+	// Answers has the answers in progress by the data centre of the engine, with
+	// short lulls left out.
+	Answers map[string]float64
 	Now     time.Time
 }
 
@@ -139,6 +143,9 @@
 	refused map[string]time.Time
 	// changing has the engines that were ordered a role.
 	changing map[string]change
+	// answers has the answers in progress as decisions see them, as of at.
+	answers map[string]float64
+	at      time.Time
 }
 
 type place struct {
@@ -220,6 +227,7 @@
 	for dc := range t.refused {
 		s.Refused[dc] = true
 	}
+	s.Answers = t.follow(s)
 	if len(d.Placements) > 0 {
 		if err := r.count(ctx, g, t, s); err != nil {
 			return err
@@ -231,6 +239,27 @@
 	return r.assign(ctx, g, t, s)
 }
 
+// lull is the time in which a load that has gone is forgotten by two thirds; a
+// change of roles does not pay for shorter ones.
+const lull = 8 * time.Second
+
+// follow returns the answers in progress by data centre: growth counts at once,
+// a decline counts slowly.
+func (t *tenure) follow(s State) map[string]float64 {
+	now := make(map[string]float64)
+	for _, e := range s.Endpoints {
+		if e.Report.Role == picker.Decode {
+			now[e.DataCentre] += float64(e.Sent + e.Elsewhere.Requests)
+		}
+	}
+	fade := math.Exp(-float64(s.Now.Sub(t.at)) / float64(lull))
+	for dc, before := range t.answers {
+		now[dc] = max(now[dc], before*fade)
+	}
+	t.answers, t.at = now, s.Now
+	return now
+}
+
 // count orders the numbers that are wanted and were not ordered yet.
 func (r *Director[P]) count(ctx context.Context, g leaser.Grant, t *tenure, s State) error {
 	for _, c := range r.Policy.Counts(s) {
--- a/internal/fleet/director/policy.go
+++ b/internal/fleet/director/policy.go
@@ -10,25 +10,30 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 )
 
-// Steady is a Policy that keeps the same number of cheap endpoints in each data
-// centre and a fixed share of them reading prompts.
+// Filled is a Policy that takes as many cheap endpoints as there may be, and has
+// a steady share of the engines read prompts for the others.
 //
 // Cheap endpoints can be withdrawn, a data centre at a time, so each data
 // centre has its part and a loss of one leaves the others. Dear ones stand in
-// where cheap ones are not to be had.
-type Steady struct {
-	// PerDataCentre is the number of endpoints wanted in each data centre.
-	PerDataCentre int
-	// ReadShare is the share of engines that read prompts for the others.
-	ReadShare float64
+// where cheap ones are not to be had. Reading prompts is what binds: all
+// engines read that the answers do not need.
+type Filled struct {
+	// Cheap is the price of a cheap endpoint, as a share of that of a dear one, up
+	// to which cheap ones are taken beyond the number that is there.
+	Cheap float64
+	// Readers is the share of engines that read.
+	Readers float64
+	// Occupancy is the share of the slots of the engines that answer up to which
+	// answers in progress leave them as they are.
+	Occupancy float64
 }
 
 // Counts returns the numbers wanted in each data centre.
-func (p Steady) Counts(s State) []Count {
+func (p Filled) Counts(s State) []Count {
 	var counts []Count
 	for _, dc := range dataCentres(s.Deployment) {
 		most, least := bounds(s.Deployment, dc)
-		want := min(max(p.PerDataCentre, least), most)
+		want := min(max(p.wanted(s, dc, most), least), most)
 		counts = append(counts,
 			Count{DataCentre: dc, Tier: definer.Spot, Want: want},
 			Count{DataCentre: dc, Tier: definer.OnDemand, Want: p.dear(s, dc, want, most)})
@@ -36,12 +41,30 @@
 	return counts
 }
 
+// wanted returns the number of endpoints wanted in a data centre: as many as
+// there may be where cheap ones cost little, else those that are there.
+func (p Filled) wanted(s State, dc string, most int) int {
+	var cheap, dear int
+	for _, pl := range s.Deployment.Placements {
+		if pl.DataCentre == dc && pl.Tier == definer.Spot {
+			cheap = pl.Cost
+		}
+		if pl.DataCentre == dc && pl.Tier == definer.OnDemand {
+			dear = pl.Cost
+		}
+	}
+	if float64(cheap) <= p.Cheap*float64(dear) {
+		return most
+	}
+	return s.live(dc, definer.Spot) + s.live(dc, definer.OnDemand)
+}
+
 // dear returns the number of dear endpoints wanted in a data centre.
 //
 // They stand in for cheap ones while those are not to be had. Else one leaves
 // for each cheap one that has come, and half of them where cheap ones have no
 // room.
-func (p Steady) dear(s State, dc string, want, most int) int {
+func (p Filled) dear(s State, dc string, want, most int) int {
 	cheap, have := s.live(dc, definer.Spot), s.live(dc, definer.OnDemand)
 	switch {
 	case s.Refused[dc]:
@@ -74,25 +97,41 @@
 	return most, least
 }
 
-// shift returns how many engines of a data centre should change their role. A
-// share between two whole numbers allows both, so that an engine which comes or
-// goes changes no other.
-func (p Steady) shift(engines, readers int) (from, to picker.Role, n int) {
+// shift returns how many engines of a data centre should change their role.
+func (p Filled) shift(s State, dc string, engines, readers int) (from, to picker.Role, n int) {
 	if engines < 2 {
 		return picker.Both, picker.Both, 0
 	}
-	share := p.ReadShare * float64(engines)
-	least := min(max(int(math.Floor(share)), 1), engines-1)
-	most := min(max(int(math.Ceil(share)), 1), engines-1)
-	if readers < least {
-		return picker.Decode, picker.Prefill, least - readers
+	answering := engines - readers
+	least, most := p.answering(s, dc, engines)
+	switch {
+	case answering < least:
+		return picker.Prefill, picker.Decode, least - answering
+	case answering > most:
+		return picker.Decode, picker.Prefill, answering - most
+	}
+	return picker.Both, picker.Both, 0
+}
+
+// answering returns the least and most engines of a data centre that should
+// answer.
+//
+// The share is steady, as the mix shifts back before a change of roles has paid
+// for itself, but for a load that leaves no room for answers. Where the share is
+// a whole number, one more may answer, so that an engine which comes or goes
+// changes no other.
+func (p Filled) answering(s State, dc string, engines int) (least, most int) {
+	n := (1 - p.Readers) * float64(engines)
+	if slots := float64(s.Deployment.Slots); slots > 0 {
+		n = max(n, s.Answers[dc]/(p.Occupancy*slots))
 	}
-	return picker.Prefill, picker.Decode, max(readers-most, 0)
+	least = min(max(int(math.Ceil(n)), 1), engines-1)
+	return least, max(least, min(int(math.Floor(n))+1, engines-1))
 }
 
 // Roles returns changes that bring the share of readers in each data centre to
 // what is wanted.
-func (p Steady) Roles(s State) []Role {
+func (p Filled) Roles(s State) []Role {
 	var roles []Role
 	if s.Deployment.Engine.HandleLife <= 0 {
 		return nil
@@ -111,7 +150,7 @@
 				readers++
 			}
 		}
-		from, to, n := p.shift(len(engines), readers)
+		from, to, n := p.shift(s, dc, len(engines), readers)
 		// The least busy change first.
 		slices.SortFunc(engines, func(a, b picker.Endpoint) int {
 			return cmp.Or(cmp.Compare(a.Sent+a.Elsewhere.Requests, b.Sent+b.Elsewhere.Requests), cmp.Compare(a.ID, b.ID))
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -31,7 +31,7 @@
 	ledger   *ledger.Ledger
 	dater    *dater.Dater
 	closer   *closer.Closer
-	director *director.Director[director.Steady]
+	director *director.Director[director.Filled]
 }
 
 const (
@@ -48,6 +48,15 @@
 	directEvery = 500 * time.Millisecond
 )
 
+// The policy of fleets. Trials on both deployments: 8 instead of 6 cheap
+// endpoints in each data centre gained 0.07 of the worth of a day, and 80
+// instead of 60 in 100 engines that read 0.05.
+const (
+	cheapShare = 0.4
+	readers    = 0.8
+	occupancy  = 0.85
+)
+
 // leaseTimes returns the times of leases that end within the given time.
 func leaseTimes(d time.Duration) leaser.Times {
 	// A look costs a call of the store; two in the life of a lease are enough.
@@ -87,7 +96,7 @@
 		Ledger:  d.ledger,
 		Now:     d.dater.Now,
 	}
-	d.director = &director.Director[director.Steady]{
+	d.director = &director.Director[director.Filled]{
 		Clock:        n.clock,
 		Log:          n.log,
 		Leases:       d.leaser,
@@ -95,7 +104,7 @@
 		Of:           n.observer.Of,
 		Supplier:     receivers,
 		Engines:      receivers,
-		Policy:       director.Steady{PerDataCentre: 8, ReadShare: 0.6},
+		Policy:       director.Filled{Cheap: cheapShare, Occupancy: occupancy, Readers: readers},
 		TakeoverWait: n.settings.Lease,
 	}
 }
--- a/internal/request/chooser/place.go
+++ b/internal/request/chooser/place.go
@@ -33,6 +33,7 @@
 			Tried:      p.Tried,
 			Source:     p.Source.Address,
 			Direct:     p.Direct,
+			Left:       c.left(r, now),
 			Now:        now,
 		},
 		Rates: placer.DefaultRates(),
@@ -72,6 +73,14 @@
 	}
 }
 
+// left returns the time until an answer is late, 0 where it has no such time.
+func (c Chooser) left(r carrier.Request, now time.Time) time.Duration {
+	if r.Route.Target <= 0 {
+		return r.Deadline.Sub(now)
+	}
+	return max(r.Arrived.Add(r.Route.Target).Sub(now), 0)
+}
+
 func (c Chooser) deployment(name string) (definer.Deployment, bool) {
 	cfg, err := c.Config()
 	if err != nil {
