follower: a store that was away is tried again

A hub that the store had not answered for a moment took its tables from another node from then on and never asked the store again, as it found a source each time. The script 'refused' failed before (a stays away after the store accepts it); the other scripts hold what a node knows while the store is silent, deaf, forgetful or reached through another node.

--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -135,6 +135,8 @@
 	state keeper.Cell[Snapshot]
 	// read is when the whole table was last read.
 	read time.Time
+	// probe is when a store that does not answer is tried again.
+	probe time.Time
 	// shun has the nodes that have failed as sources, with the time until which
 	// they are not asked.
 	shun map[string]time.Time
@@ -146,7 +148,7 @@
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if address := f.source(); address != "" {
+		if address := f.source(); address != "" && !f.probes() {
 			f.relay(ctx, address)
 			continue
 		}
@@ -251,5 +253,6 @@
 	})
 	// A plain read fails sooner than a watch.
 	f.read = time.Time{}
+	f.probe = f.Clock.Now().Add(probeEvery)
 	_ = f.Clock.Sleep(ctx, f.Retry)
 }
--- /dev/null
+++ b/internal/store/follower/follower_test.go
@@ -0,0 +1,310 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/store/follower"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// TestScripts guards what a node knows of a table while the store is silent,
+// away, forgetful or reached through another node: each command is a fault, a
+// change or time that passes, the output what the node has. Time is that of a
+// synctest bubble, so that the scripts run at once and always alike.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			defer w.stop()
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				out := w.do(t, d)
+				synctest.Wait()
+				return out
+			})
+		})
+	})
+}
+
+// world is a store with the nodes that follow a table of it.
+type world struct {
+	store *fakeStore
+	stop  func()
+	nodes map[string]*node
+	ctx   context.Context
+}
+
+type node struct {
+	world    *world
+	name     string
+	follower *follower.Follower
+	pulse    *follower.Pulse
+
+	mu      sync.Mutex
+	source  string
+	refused bool
+	failed  int
+}
+
+func newWorld() *world {
+	ctx, stop := context.WithCancel(context.Background())
+	return &world{store: &fakeStore{changed: make(chan struct{})}, nodes: make(map[string]*node), ctx: ctx, stop: stop}
+}
+
+func (w *world) do(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "node":
+		wait := 5 * time.Second
+		if d.HasArg("short") {
+			wait = 800 * time.Millisecond
+		}
+		w.start(d.CmdArgs[0].Key, wait)
+	case "put", "delete":
+		w.store.write(d.CmdArgs[0].Key, d.Cmd == "delete")
+	case "store":
+		w.store.set(func(s *fakeStore) {
+			s.down, s.hang, s.deaf = d.HasArg("down"), d.HasArg("hangs"), d.HasArg("deaf")
+			if d.HasArg("drops-history") {
+				s.dropped = s.version
+			}
+		})
+	case "refuse", "accept":
+		n := w.nodes[d.CmdArgs[0].Key]
+		n.mu.Lock()
+		n.refused = d.Cmd == "refuse"
+		n.mu.Unlock()
+	case "source":
+		n := w.nodes[d.CmdArgs[0].Key]
+		n.mu.Lock()
+		n.source = ""
+		if len(d.CmdArgs) > 1 {
+			n.source = d.CmdArgs[1].Key
+		}
+		n.mu.Unlock()
+	case "wait":
+		span, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(span)
+	case "calls":
+		return fmt.Sprintf("%d\n", w.store.taken())
+	case "show":
+	default:
+		t.Fatalf("there is no command %s", d.Cmd)
+	}
+	synctest.Wait()
+	return w.show()
+}
+
+// show tells what each node has.
+func (w *world) show() string {
+	var out strings.Builder
+	names := make([]string, 0, len(w.nodes))
+	for name := range w.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s := w.nodes[name].follower.Snapshot()
+		var keys []string
+		for _, r := range s.Rows() {
+			keys = append(keys, strings.TrimPrefix(r.Key, "t/")+"@"+strconv.FormatUint(r.Version, 10))
+		}
+		_, _ = fmt.Fprintf(&out, "%s: [%s]", name, strings.Join(keys, " "))
+		if s.Away() {
+			out.WriteString(" away")
+		}
+		if !s.BackSince.IsZero() && !s.Away() {
+			_, _ = fmt.Fprintf(&out, " back %v ago", time.Since(s.BackSince).Round(100*time.Millisecond))
+		}
+		out.WriteString("\n")
+	}
+	return out.String()
+}
+
+func (w *world) start(name string, wait time.Duration) {
+	n := &node{world: w, name: name, pulse: &follower.Pulse{}}
+	n.follower = &follower.Follower{
+		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Pulse: n.pulse, Relay: n,
+		Wait: wait, Refresh: 30 * time.Second, Retry: 250 * time.Millisecond,
+	}
+	w.nodes[name] = n
+	go n.follower.Run(w.ctx)
+}
+
+// Source returns the node that this one takes the table from; while the store
+// refuses it, any other.
+func (n *node) Source(away bool) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.source != "" || !away {
+		return n.source
+	}
+	for name := range n.world.nodes {
+		if name != n.name {
+			return name
+		}
+	}
+	return ""
+}
+
+// Failed counts failed sources.
+func (n *node) Failed(string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failed++
+}
+
+// Follow takes the table from another node of the world.
+func (n *node) Follow(ctx context.Context, address, _ string, changed uint64, take func(courier.Content)) error {
+	return n.world.nodes[address].follower.Serve(ctx, changed, func(c courier.Content) error {
+		take(c)
+		return ctx.Err()
+	})
+}
+
+// Read reads the store for the node.
+func (n *node) Read(ctx context.Context, _ string) (transactor.Changes, error) {
+	return n.world.store.read(ctx, n.isRefused())
+}
+
+// Watch watches the store for the node.
+func (n *node) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (transactor.Changes, error) {
+	return n.world.store.watch(ctx, n.isRefused(), after, wait)
+}
+
+func (n *node) isRefused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.refused
+}
+
+// fakeStore is one table with faults.
+type fakeStore struct {
+	mu      sync.Mutex
+	rows    []transactor.Row
+	version uint64
+	dropped uint64
+	calls   int
+	changed chan struct{}
+	// down refuses calls, hang leaves them without an answer, deaf does not tell
+	// watches of changes.
+	down, hang, deaf bool
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) write(key string, deleted bool) {
+	s.set(func(s *fakeStore) {
+		s.version++
+		key := "t/" + key
+		s.rows = slices.DeleteFunc(s.rows, func(r transactor.Row) bool { return r.Key == key })
+		s.rows = append(s.rows, transactor.Row{Key: key, Version: s.version, Deleted: deleted})
+	})
+}
+
+func (s *fakeStore) taken() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.calls
+	s.calls = 0
+	return n
+}
+
+var errNoAnswer = coder.Refuse(coder.PlatformUnavailable, "no answer")
+
+// callLimit bounds a call beside the time that it asks the store to wait.
+const callLimit = 800 * time.Millisecond
+
+// begin counts a call and plays the faults.
+func (s *fakeStore) begin(ctx context.Context, refused bool, limit time.Duration) error {
+	s.mu.Lock()
+	s.calls++
+	down, hang := s.down || refused, s.hang
+	s.mu.Unlock()
+	if down {
+		return errNoAnswer
+	}
+	if !hang {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(limit):
+		return errNoAnswer
+	}
+}
+
+func (s *fakeStore) read(ctx context.Context, refused bool) (transactor.Changes, error) {
+	if err := s.begin(ctx, refused, callLimit); err != nil {
+		return transactor.Changes{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := transactor.Changes{Version: s.version}
+	for _, r := range s.rows {
+		if !r.Deleted {
+			c.Rows = append(c.Rows, r)
+		}
+	}
+	return c, nil
+}
+
+func (s *fakeStore) watch(ctx context.Context, refused bool, after uint64, wait time.Duration) (transactor.Changes, error) {
+	if err := s.begin(ctx, refused, wait+callLimit); err != nil {
+		return transactor.Changes{}, err
+	}
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		c := transactor.Changes{Version: s.version}
+		for _, r := range s.rows {
+			if r.Version > after && !s.deaf {
+				c.Rows = append(c.Rows, r)
+			}
+		}
+		dropped, down, hang, next := after < s.dropped, s.down, s.hang, s.changed
+		s.mu.Unlock()
+		switch {
+		case down:
+			return transactor.Changes{}, errNoAnswer
+		case hang:
+			next = nil
+		case dropped:
+			return transactor.Changes{}, coder.Refuse(coder.HistoryGone, "gone")
+		case len(c.Rows) > 0:
+			return c, nil
+		}
+		select {
+		case <-ctx.Done():
+			return transactor.Changes{}, ctx.Err()
+		case <-end:
+			if hang {
+				return transactor.Changes{}, errNoAnswer
+			}
+			return c, nil
+		case <-next:
+		}
+	}
+}
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -39,12 +39,17 @@
 	return address
 }
 
+// probes reports whether the store, which does not answer this node, is to be
+// tried again.
+func (f *Follower) probes() bool {
+	return f.state.Get().Away() && !f.Clock.Now().Before(f.probe)
+}
+
 // relay takes the table from a node until that fails or another source is due.
 func (f *Follower) relay(ctx context.Context, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	// What the store has told before is old by the time it is asked again.
 	defer func() { f.read = time.Time{} }()
-	started := f.Clock.Now()
 	heard := make(chan courier.Content)
 	var failure error
 	var wg conc.WaitGroup
@@ -73,7 +78,7 @@
 				return
 			}
 			f.takeContent(c)
-			if f.source() != address || f.state.Get().Away() && f.Clock.Now().Sub(started) >= probeEvery {
+			if f.source() != address || f.probes() {
 				return
 			}
 		case <-f.Clock.After(silentAfter):
