--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -53,9 +53,9 @@
 	l.list.Update(func(before list) (list, bool) {
 		out = before
 		if s.Changed != before.changed || s.Loaded() != before.loaded {
-			out = l.renew(before, s)
+			out = l.renew(before, s, now)
 		}
-		if s.Away() || now.Sub(s.BackSince) >= l.Lapse {
+		if now.Sub(s.ResumedAt) >= l.Lapse {
 			out.lapsed = nil
 		}
 		return out, true
@@ -70,7 +70,7 @@
 }
 
 // renew decodes the entries anew.
-func (l *Lister) renew(before list, s follower.Snapshot) list {
+func (l *Lister) renew(before list, s follower.Snapshot, now time.Time) list {
 	out := list{changed: s.Changed, loaded: s.Loaded(), vms: make(map[string]supplier.VM), lapsed: make(map[string]supplier.VM)}
 	for _, row := range s.Rows() {
 		vm, err := l.Decode(row)
@@ -89,7 +89,7 @@
 			if _, ok := out.vms[id]; ok {
 				continue
 			}
-			lapsed := !s.BackSince.IsZero() && !s.Away()
+			lapsed := now.Sub(s.ResumedAt) < l.Lapse
 			if lapsed {
 				out.lapsed[id] = vm
 			}
--- /dev/null
+++ b/internal/fleet/lister/lister_test.go
@@ -0,0 +1,82 @@
+package lister_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/fleet/lister"
+	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/store/follower"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+// TestScripts guards against endpoints that are dropped because their entries
+// lapsed in an outage, that are kept although they have left, and against a
+// malformed entry that spoils others.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		var resumed time.Time
+		var entries string
+		version := uint64(0)
+		l := &lister.Lister{
+			Clock: clock, Log: zerolog.Nop(), Lapse: 2 * time.Second,
+			Snapshot: func() follower.Snapshot {
+				s := follower.NewSnapshot(version, rows(entries, version))
+				s.ResumedAt, s.ConfirmedAt = resumed, clock.Now()
+				return s
+			},
+			Decode: decode,
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "entries":
+				entries = d.Input
+				version++
+			case "resumed":
+				resumed = clock.Now()
+			case "wait":
+				span, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				clock.Advance(span)
+			}
+			vms, _, err := l.List(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			var names []string
+			for _, vm := range vms {
+				names = append(names, vm.ID+":"+string(vm.State))
+			}
+			slices.Sort(names)
+			return strings.Join(names, " ") + "\n"
+		})
+	})
+}
+
+func rows(entries string, version uint64) []transactor.Row {
+	var rows []transactor.Row
+	for _, e := range strings.Fields(entries) {
+		name, state, _ := strings.Cut(e, ":")
+		rows = append(rows, transactor.Row{Key: "servers/" + name, Value: []byte(state), Version: version})
+	}
+	return rows
+}
+
+// decode takes the value of a row as the endpoint's state.
+func decode(r transactor.Row) (supplier.VM, error) {
+	if string(r.Value) == "broken" {
+		return supplier.VM{}, coder.New(coder.PlatformRefused, "malformed")
+	}
+	return supplier.VM{ID: strings.TrimPrefix(r.Key, "servers/"), State: supplier.VMState(r.Value)}, nil
+}
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -108,8 +108,8 @@
 		Rows: mapped(c.Rows, func(r transactor.Row) *RowMessage {
 			return &RowMessage{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
 		}),
-		AgeMs:  milliseconds(c.Age),
-		BackMs: milliseconds(c.Back),
+		AgeMs:     milliseconds(c.Age),
+		ResumedMs: milliseconds(c.Resumed),
 	}
 }
 
@@ -121,7 +121,7 @@
 		Rows: mapped(m.GetRows(), func(r *RowMessage) transactor.Row {
 			return transactor.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()}
 		}),
-		Age:  duration(m.GetAgeMs()),
-		Back: duration(m.GetBackMs()),
+		Age:     duration(m.GetAgeMs()),
+		Resumed: duration(m.GetResumedMs()),
 	}
 }
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -93,8 +93,8 @@
 	Version uint64
 	Changed uint64
 	Rows    []transactor.Row
-	// Age is how long ago the store has confirmed the content, Back how long ago
-	// it was back after it did not answer; 0 if it always has.
-	Age  time.Duration
-	Back time.Duration
+	// Age is how long ago the store has confirmed the content, Resumed how long
+	// ago it was back after rows may have lapsed; 0 if it never was away.
+	Age     time.Duration
+	Resumed time.Duration
 }
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -39,6 +39,30 @@
 	// when it answered again; both are zero where it never was away.
 	AwaySince time.Time
 	BackSince time.Time
+	// ResumedAt is when the content was confirmed again after nobody had seen the
+	// store for so long that rows may have lapsed; zero where that never was.
+	ResumedAt time.Time
+}
+
+// NewSnapshot returns a snapshot of rows at a version.
+func NewSnapshot(version uint64, rows []transactor.Row) Snapshot {
+	return Snapshot{}.withAll(transactor.Changes{Rows: rows, Version: version})
+}
+
+// lapseAfter is how long the store must have been away for rows to lapse: they
+// are written every 1.2 s and lapse after three times as long.
+const lapseAfter = 2 * time.Second
+
+// withConfirmed returns a snapshot whose content the store has confirmed at a
+// time.
+func (s Snapshot) withConfirmed(at, now time.Time) Snapshot {
+	if s.Away() && s.Loaded() && at.Sub(s.ConfirmedAt) >= lapseAfter {
+		s.ResumedAt = now
+	}
+	if at.After(s.ConfirmedAt) {
+		s.ConfirmedAt = at
+	}
+	return s
 }
 
 // Loaded reports whether the table was ever read.
@@ -215,11 +239,12 @@
 	now := f.Clock.Now()
 	f.Pulse.answered(now)
 	f.store(func(s Snapshot) Snapshot {
-		if s.Away() {
+		away := s.Away()
+		s = s.withConfirmed(now, now)
+		if away {
 			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.AwaySince)).Msg("store answers again")
 			s.BackSince = now
 		}
-		s.ConfirmedAt = now
 		return change(s)
 	})
 }
@@ -230,7 +255,7 @@
 		before, after = s, change(s)
 		return after, true
 	})
-	if f.OnChange != nil && (after.Changed != before.Changed || after.Loaded() != before.Loaded() || after.BackSince != before.BackSince) {
+	if f.OnChange != nil && (after.Changed != before.Changed || after.Loaded() != before.Loaded() || after.ResumedAt != before.ResumedAt) {
 		f.OnChange(after)
 	}
 }
@@ -238,11 +263,9 @@
 // failed notes that the store did not answer, and waits.
 func (f *Follower) failed(ctx context.Context, err error) {
 	now := f.Clock.Now()
-	if coder.Of(err).Code() == coder.PlatformUnavailable {
-		f.Pulse.failed(now)
-	}
 	f.store(func(s Snapshot) Snapshot {
 		if !s.Away() {
+			s.ConfirmedAt = f.Pulse.confirmed(s.ConfirmedAt)
 			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store does not answer")
 			s.AwaySince = now
 			if s.BackSince.Equal(now) {
@@ -251,6 +274,9 @@
 		}
 		return s
 	})
+	if coder.Of(err).Code() == coder.PlatformUnavailable {
+		f.Pulse.failed(now)
+	}
 	// A plain read fails sooner than a watch.
 	f.read = time.Time{}
 	f.probe = f.Clock.Now().Add(probeEvery)
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -131,6 +131,9 @@
 		if !s.BackSince.IsZero() && !s.Away() {
 			_, _ = fmt.Fprintf(&out, " back %v ago", time.Since(s.BackSince).Round(100*time.Millisecond))
 		}
+		if !s.ResumedAt.IsZero() {
+			_, _ = fmt.Fprintf(&out, " resumed %v ago", time.Since(s.ResumedAt).Round(100*time.Millisecond))
+		}
 		out.WriteString("\n")
 	}
 	return out.String()
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -106,9 +106,9 @@
 func (f *Follower) takeContent(c courier.Content) {
 	now := f.Clock.Now()
 	f.store(func(s Snapshot) Snapshot {
-		s.ConfirmedAt = now.Add(-c.Age)
-		if back := now.Add(-c.Back); c.Back > 0 && !s.Away() && back.After(s.BackSince) {
-			s.BackSince = back
+		s = s.withConfirmed(now.Add(-c.Age), now)
+		if resumed := now.Add(-c.Resumed); c.Resumed > 0 && resumed.After(s.ResumedAt) {
+			s.ResumedAt = resumed
 		}
 		if c.Changed <= s.Changed && s.Loaded() {
 			return s
@@ -132,8 +132,8 @@
 		if s.Loaded() {
 			c := s.since(sent)
 			c.Age = f.Clock.Now().Sub(f.confirmed(s))
-			if !s.BackSince.IsZero() {
-				c.Back = max(f.Clock.Now().Sub(s.BackSince), time.Millisecond)
+			if !s.ResumedAt.IsZero() {
+				c.Resumed = max(f.Clock.Now().Sub(s.ResumedAt), time.Millisecond)
 			}
 			if !sent.Loaded() && s.Changed == changed {
 				c.Whole, c.Rows = false, nil
