usage: counts survive restarts in an outage and lost answers

A restarted hub gets the counts of its own data centre back from the others, a node that stops states its last counts first, and nodes that start while the store is away take old content of others, which is better than none. Requests whose answer was lost count as begun: windows were 8 to 12 in 100 short while workers lost answers.

--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -178,6 +178,19 @@
 	l.Log.Info().Str("duty", name).Uint64("fencing-token", was.row.token).AnErr("failure", err).Msg("lease released")
 }
 
+// Hurry makes all duties due at once, as when the store answers again.
+func (l *Leaser) Hurry() {
+	now := l.Clock.Now()
+	var names []string
+	l.Duties.Each(func(name string, _ duty) bool {
+		names = append(names, name)
+		return true
+	})
+	for _, name := range names {
+		l.Duties.Update(name, func(d duty, ok bool) (duty, bool) { return d.withNext(now), ok })
+	}
+}
+
 // step does what is due for one duty.
 func (l *Leaser) step(ctx context.Context, name string, rank int) {
 	now := l.Clock.Now()
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -174,11 +174,15 @@
 func (n *Node) follow(prefix string, wait time.Duration, apply func(follower.Snapshot)) *follower.Follower {
 	return &follower.Follower{
 		OnClock: n.readClock,
+		OnBack:  n.hurry,
 		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Pulse: &n.pulse, Relay: relay{n},
 		Wait: wait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
 	}
 }
 
+// hurry does what has waited for the store.
+func (n *Node) hurry() { n.duties.leaser.Hurry() }
+
 // readClock takes a reading of the store's clock.
 func (n *Node) readClock(store time.Duration) { n.duties.dater.Read(store) }
 
@@ -361,8 +365,12 @@
 // correct, only to be quick.
 const leaveLimit = 500 * time.Millisecond
 
+// stateWait is the time in which the last counts of a node reach the hubs.
+const stateWait = 700 * time.Millisecond
+
 // leave hands over what the node holds, once it serves no more.
 func (n *Node) leave() {
+	_ = n.clock.Sleep(context.Background(), stateWait)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
 	n.leaveDuties(ctx)
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -164,6 +164,9 @@
 	d.Endpoints.Sent(e.ID, w)
 	rep := d.Forwarder.Forward(c.job.ctx, a, c.reply)
 	d.note(c, e, w, rep)
+	if c.probablyBegan(rep) {
+		d.begun(c)
+	}
 	// A handle can be used once; an endpoint that refused has left it alone.
 	if rep.Attempt.Outcome() == coder.Unknown || rep.Attempt.Whole() {
 		c.source = readPrompt{}
@@ -201,6 +204,16 @@
 	return picker.SignFailed
 }
 
+// probablyBegan reports whether a request without an answer has probably begun
+// to run: a plain service begins at once, an engine has begun if nothing but its
+// answer was lost.
+func (c *course) probablyBegan(rep forwarder.Report) bool {
+	if rep.Attempt.Outcome() != coder.Unknown {
+		return false
+	}
+	return !c.model() || c.job.ctx.Err() == nil
+}
+
 // begun notes that the request has begun to run, once.
 func (d *Dispatcher) begun(c *course) {
 	if c.job.began {
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -153,6 +153,9 @@
 	Relay Relay
 	// OnClock is called with each reading of the store's clock; nil means nothing.
 	OnClock func(time.Duration)
+	// OnBack is called when the store answers again after it did not; nil means
+	// nothing.
+	OnBack func()
 	// OnChange is called after each change, from one goroutine at a time.
 	OnChange func(Snapshot)
 
@@ -237,6 +240,7 @@
 // take stores what the store has told.
 func (f *Follower) take(change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
+	back := f.state.Get().Away()
 	f.Pulse.answered(now)
 	f.store(func(s Snapshot) Snapshot {
 		away := s.Away()
@@ -247,6 +251,9 @@
 		}
 		return change(s)
 	})
+	if back && f.OnBack != nil {
+		f.OnBack()
+	}
 }
 
 func (f *Follower) store(change func(Snapshot) Snapshot) {
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -74,6 +74,8 @@
 				f.leave(address, "the stream has ended", failure)
 				return
 			case c.Age > staleAfter:
+				// It may still be newer than what this node has.
+				f.takeContent(c)
 				f.leave(address, "its content is old", nil)
 				return
 			}
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -83,6 +83,9 @@
 
 // Since returns the counts of nodes of this data centre that have changed after
 // a revision, and the present revision. With own set it returns this node's.
+//
+// After revision 0 it returns all counts, as who asks may have lost what it knew
+// of its own data centre.
 func (l *Ledger) Since(revision uint64, own bool) ([]courier.NodeUsage, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,7 +94,7 @@
 	}
 	var out []courier.NodeUsage
 	for k, r := range l.rows {
-		if r.revision > revision && r.local && (!own || k.node == l.Self) {
+		if r.revision > revision && (revision == 0 || r.local) && (!own || k.node == l.Self) {
 			out = append(out, usage(k, r))
 		}
 	}
