--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -32,12 +32,28 @@
 	FieldRetry      = "retry-after"
 	FieldOrders     = "orders"
 	FieldFigures    = "figures"
+	FieldEndpoint   = "endpoint"
+	FieldOutcome    = "outcome"
+	FieldCause      = "cause"
+	FieldStatus     = "status"
+	FieldBasis      = "basis"
+	FieldReaders    = "reader-basis"
+	FieldRoute      = "route"
+	FieldRead       = "read-ms"
+	FieldFirst      = "first-ms"
+	FieldTook       = "took-ms"
+	FieldAttempt    = "attempt"
+	FieldAttempts   = "attempts"
+	FieldVersion    = "config-version"
 )
 
 // The kinds of decision.
 const (
 	Routing   = "routing"
 	Admission = "admission"
+	Reading   = "reading"
+	Attempt   = "attempt"
+	End       = "end"
 	Roles     = "roles"
 	Fleet     = "fleet"
 )
@@ -76,8 +92,11 @@
 	}
 	line = line.Str(FieldDecision, Routing).Str(FieldRequest, requestID).Str(FieldAccount, account).
 		Str(FieldDeployment, deployment).Str(FieldChosen, chosen).Str(FieldReason, reason)
+	if p.Run.OK {
+		line = line.Dict(FieldBasis, basis(p.Run.Basis))
+	}
 	if p.Read.OK {
-		line = line.Str(FieldReader, p.Read.Endpoint.ID)
+		line = line.Str(FieldReader, p.Read.Endpoint.ID).Dict(FieldReaders, basis(p.Read.Basis))
 	}
 	if p.Fetch != "" {
 		line = line.Str(FieldFetch, p.Fetch)
@@ -85,6 +104,90 @@
 	line.Msg("endpoint chosen")
 }
 
+func basis(b picker.Basis) *zerolog.Event {
+	d := zerolog.Dict().Int("held-tokens", b.Held).Int("waiting-tokens", b.Waiting).Int("requests", b.InWork)
+	if b.Age >= 0 {
+		d = d.Int64("statement-age-ms", b.Age.Milliseconds())
+	}
+	return d
+}
+
+// LogReading writes the line of a prompt that an engine has not read.
+func LogReading(log zerolog.Logger, requestID, endpoint string, err error) {
+	log.Warn().Str(FieldDecision, Reading).Str(FieldRequest, requestID).Str(FieldEndpoint, endpoint).
+		Str(FieldReason, err.Error()).Msg("prompt not read")
+}
+
+// LogAttempt writes the line of an attempt that has failed.
+func LogAttempt(log zerolog.Logger, requestID, endpoint string, attempt int, err error) {
+	f := coder.Of(err)
+	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, requestID).Str(FieldEndpoint, endpoint).
+		Int(FieldAttempt, attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+	if cause := f.Unwrap(); cause != nil {
+		line = line.Str(FieldCause, cause.Error())
+	}
+	line.Msg("attempt failed")
+}
+
+// Ending is how a request has ended.
+type Ending struct {
+	Request    string
+	Account    string
+	Deployment string
+	Route      string
+	Endpoint   string
+	Status     int
+	Attempts   int
+	// Config is the version of the configuration that the request was taken by.
+	Config uint64
+	// Read, First and Took are the times from the arrival to the reading of the
+	// prompt, the first piece of the answer and the end; 0 means that it did not
+	// come to that.
+	Read  time.Duration
+	First time.Duration
+	Took  time.Duration
+	// Err is nil for a whole answer.
+	Err error
+}
+
+// LogEnd writes the line of a request that has ended.
+func LogEnd(log zerolog.Logger, e Ending) {
+	line := log.Info()
+	if e.Err != nil {
+		line = log.Warn()
+	}
+	line = line.Str(FieldDecision, End).Str(FieldRequest, e.Request).Int(FieldStatus, e.Status)
+	for _, t := range []struct{ name, text string }{
+		{FieldAccount, e.Account},
+		{FieldDeployment, e.Deployment},
+		{FieldRoute, e.Route},
+		{FieldEndpoint, e.Endpoint},
+	} {
+		if t.text != "" {
+			line = line.Str(t.name, t.text)
+		}
+	}
+	for _, t := range []struct {
+		name string
+		d    time.Duration
+	}{{FieldRead, e.Read}, {FieldFirst, e.First}, {FieldTook, e.Took}} {
+		if t.d > 0 {
+			line = line.Int64(t.name, t.d.Milliseconds())
+		}
+	}
+	if e.Err != nil {
+		f := coder.Of(e.Err)
+		line = line.Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+		if cause := f.Unwrap(); cause != nil {
+			line = line.Str(FieldCause, cause.Error())
+		}
+		if d := f.RetryAfter(); d > 0 {
+			line = line.Str(FieldRetry, d.Round(time.Millisecond).String())
+		}
+	}
+	line.Int(FieldAttempts, e.Attempts).Uint64(FieldVersion, e.Config).Msg("request ended")
+}
+
 // LogRefusal writes the line of a request that was not admitted.
 func LogRefusal(log zerolog.Logger, requestID, account, deployment string, f coder.Error) {
 	log.Info().Str(FieldDecision, Admission).Str(FieldRequest, requestID).Str(FieldAccount, account).
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -30,6 +30,15 @@
 	Orders     []string
 	Rejected   []string
 	Figures    []string
+	Reader     string
+	Fetch      string
+	Endpoint   string
+	Outcome    string
+	Cause      string
+	Route      string
+	Status     int
+	// Numbers are the other figures of a line.
+	Numbers []string
 }
 
 // maxLine bounds one line of a log; longer ones are skipped.
@@ -83,18 +92,37 @@
 	if l.Node != "" {
 		_, _ = fmt.Fprintf(&b, " by %s", l.Node)
 	}
-	_, _ = fmt.Fprintf(&b, ", deployment %s", l.Deployment)
+	if l.Deployment != "" {
+		_, _ = fmt.Fprintf(&b, ", deployment %s", l.Deployment)
+	}
+	if l.Route != "" {
+		_, _ = fmt.Fprintf(&b, ", route %s", l.Route)
+	}
 	if l.Account != "" {
 		_, _ = fmt.Fprintf(&b, ", client account %s", l.Account)
 	}
 	b.WriteString("\n")
 	switch {
+	case l.Decision == Reading:
+		_, _ = fmt.Fprintf(&b, "  %s has not read the prompt: %s\n", l.Endpoint, l.Reason)
+	case l.Decision == Attempt:
+		_, _ = fmt.Fprintf(&b, "  failed at %s, %s, code %d: %s%s\n", l.Endpoint, l.Outcome, l.Code, l.Reason, l.because())
+	case l.Decision == End && l.Code != 0:
+		_, _ = fmt.Fprintf(&b, "  %s, code %d: %s%s%s\n", l.Outcome, l.Code, l.Reason, l.because(), l.retry())
+	case l.Decision == End:
+		_, _ = fmt.Fprintf(&b, "  answered with status %d by %s\n", l.Status, l.Endpoint)
 	case l.Decision == Admission:
 		_, _ = fmt.Fprintf(&b, "  refused, not run, code %d: %s; retry after %s\n", l.Code, l.Reason, l.RetryAfter)
 	case l.Decision == Routing && l.Chosen == "":
 		_, _ = fmt.Fprintf(&b, "  no endpoint chosen: %s\n", l.Reason)
 	case l.Decision == Routing:
 		_, _ = fmt.Fprintf(&b, "  chose %s: %s\n", l.Chosen, l.Reason)
+		if l.Reader != "" {
+			_, _ = fmt.Fprintf(&b, "  %s reads the prompt\n", l.Reader)
+		}
+		if l.Fetch != "" {
+			_, _ = fmt.Fprintf(&b, "  copies the beginning from %s\n", l.Fetch)
+		}
 	case len(l.Orders) == 0:
 		_, _ = fmt.Fprintf(&b, "  no order: %s\n", l.Reason)
 	default:
@@ -107,45 +135,81 @@
 		}
 		_, _ = fmt.Fprintf(&b, "  rejected %s: %s\n", name, reason)
 	}
-	if len(l.Figures) > 0 {
-		_, _ = fmt.Fprintf(&b, "  figures %s\n", strings.Join(l.Figures, ", "))
+	if figures := append(l.Figures, l.Numbers...); len(figures) > 0 {
+		_, _ = fmt.Fprintf(&b, "  figures %s\n", strings.Join(figures, ", "))
 	}
 	return b.String()
 }
 
+// because returns the cause of a failure, if the line has one.
+func (l Line) because() string {
+	if l.Cause == "" {
+		return ""
+	}
+	return ", as " + l.Cause
+}
+
+// retry returns when the caller was told to come back.
+func (l Line) retry() string {
+	if l.RetryAfter == "" {
+		return ""
+	}
+	return "; retry after " + l.RetryAfter
+}
+
 // decode reads a log line; false means that it is no decision.
 func decode(data []byte) (l Line, ok bool) {
+	texts := map[string]*string{
+		"time": &l.Time, "node": &l.Node, FieldDecision: &l.Decision, FieldRequest: &l.Request,
+		FieldAccount: &l.Account, FieldDeployment: &l.Deployment, FieldChosen: &l.Chosen,
+		FieldReason: &l.Reason, FieldRetry: &l.RetryAfter, FieldReader: &l.Reader, FieldFetch: &l.Fetch,
+		FieldEndpoint: &l.Endpoint, FieldOutcome: &l.Outcome, FieldCause: &l.Cause, FieldRoute: &l.Route,
+	}
+	numbers := map[string]*int{FieldCode: &l.Code, FieldStatus: &l.Status}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
-		texts := map[string]*string{
-			"time": &l.Time, "node": &l.Node, FieldDecision: &l.Decision, FieldRequest: &l.Request,
-			FieldAccount: &l.Account, FieldDeployment: &l.Deployment, FieldChosen: &l.Chosen,
-			FieldReason: &l.Reason, FieldRetry: &l.RetryAfter,
-		}
 		if text, ok := texts[name]; ok && d.Next() == jx.String {
 			*text, err = d.Str()
 			return err
 		}
-		switch name {
-		case FieldCode:
-			if d.Next() != jx.Number {
-				return d.Skip()
-			}
-			l.Code, err = d.Int()
-		case FieldOrders:
-			l.Orders, err = list(d)
-		case FieldRejected:
-			l.Rejected, err = list(d)
-		case FieldFigures:
-			l.Figures, err = figures(d)
-		default:
-			err = d.Skip()
+		if number, ok := numbers[name]; ok && d.Next() == jx.Number {
+			*number, err = d.Int()
+			return err
 		}
-		return err
+		return l.more(d, name)
 	})
-	known := []string{Routing, Admission, Roles, Fleet}
+	known := []string{Routing, Admission, Reading, Attempt, End, Roles, Fleet}
 	return l, err == nil && slices.Contains(known, l.Decision)
 }
 
+// more reads a field that is a list, an object or one of the other figures.
+func (l *Line) more(d *jx.Decoder, name string) (err error) {
+	var items []string
+	switch name {
+	case FieldOrders:
+		l.Orders, err = list(d)
+	case FieldRejected:
+		l.Rejected, err = list(d)
+	case FieldFigures:
+		l.Figures, err = figures(d)
+	case FieldBasis, FieldReaders:
+		items, err = figures(d)
+		for i := range items {
+			items[i] = name + " " + items[i]
+		}
+	case FieldRead, FieldFirst, FieldTook, FieldAttempt, FieldAttempts, FieldVersion:
+		if d.Next() != jx.Number {
+			return d.Skip()
+		}
+		var n jx.Num
+		n, err = d.Num()
+		items = []string{name + " " + n.String()}
+	default:
+		err = d.Skip()
+	}
+	l.Numbers = append(l.Numbers, items...)
+	return err
+}
+
 func list(d *jx.Decoder) (items []string, err error) {
 	if d.Next() != jx.Array {
 		return nil, d.Skip()
--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -70,6 +70,19 @@
 	ReasonRefused     Reason = "refused"
 )
 
+// Basis is what a choice of an engine rests on.
+type Basis struct {
+	// Held is the prompt's tokens in the engine's cache, Waiting the tokens that
+	// it has to read before.
+	Held    int
+	Waiting int
+	// InWork is the number of requests at the engine.
+	InWork int
+	// Age is the age of what other nodes have stated of the engine; negative if
+	// they have not.
+	Age time.Duration
+}
+
 // Choice is the decision for one request.
 type Choice struct {
 	Endpoint Endpoint
@@ -79,7 +92,9 @@
 	// the caller must reserve first.
 	Probe bool
 	// Reason says why this one was chosen.
-	Reason   string
+	Reason string
+	// Basis is what was known of the endpoint that was chosen.
+	Basis    Basis
 	Rejected []Rejected
 	// Out lists endpoints that were no candidates.
 	Out []Rejected
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -169,7 +169,12 @@
 	if i < 0 {
 		return picker.Choice{}
 	}
-	return picker.Choice{Endpoint: d.Engines[i].Endpoint, OK: true, Reason: reason}
+	e := d.Engines[i]
+	b := picker.Basis{Held: e.Held, Waiting: int(d.waiting(e)), InWork: e.Sent + int(d.others(e)), Age: -1}
+	if !e.Elsewhere.At.IsZero() {
+		b.Age = d.Need.Now.Sub(e.Elsewhere.At)
+	}
+	return picker.Choice{Endpoint: e.Endpoint, OK: true, Reason: reason, Basis: b}
 }
 
 // holder returns the engine that holds the longest beginning, one in the data
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -41,10 +41,11 @@
 type Settings struct {
 	ID         string
 	DataCentre string
-	// CallersListen, ReadyListen and PeersListen are IP:port.
+	// CallersListen, ReadyListen, PeersListen and MetricsListen are IP:port.
 	CallersListen string
 	ReadyListen   string
 	PeersListen   string
+	MetricsListen string
 	// Seeds are addresses of nodes to ask while the store cannot be reached.
 	Seeds []string
 	// Stop is the time from the signal to stop until the process is killed.
@@ -90,6 +91,9 @@
 	// Receivers returns what takes reports and orders; check fails if a lease can
 	// no longer be trusted.
 	Receivers func(check func(leaser.Grant) error) Receivers
+	// Requests is the log of the lines about single requests, which are more than
+	// the others by far.
+	Requests zerolog.Logger
 }
 
 // Node is one process of the system.
@@ -116,6 +120,7 @@
 
 	callers net.Listener
 	ready   net.Listener
+	metrics net.Listener
 }
 
 // loaded is the configuration in force.
@@ -167,6 +172,9 @@
 	if n.ready, err = listen(s.ReadyListen); err != nil {
 		return nil, err
 	}
+	if n.metrics, err = listen(s.MetricsListen); err != nil {
+		return nil, err
+	}
 	return n, nil
 }
 
@@ -267,10 +275,10 @@
 	n.queue = make(queue, queueLimit)
 	n.handler = &dispatcher.Dispatcher{
 		Clock:   n.clock,
-		Log:     n.log,
+		Log:     n.ports.Requests,
 		Configs: n,
 		Chooser: chooser.Chooser{
-			Clock: n.clock, Log: n.log, DataCentre: n.settings.DataCentre,
+			Clock: n.clock, Log: n.ports.Requests, DataCentre: n.settings.DataCentre,
 			Observer: n.observer, Index: n.index, Note: n.note, Limits: n.limits, Config: n.Config,
 		},
 		Endpoints: n.observer,
@@ -314,13 +322,16 @@
 	}
 	ready := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerWait}
 	wg.Go(func() { n.serve(callers, n.callers) })
+	metrics := &http.Server{Handler: metricsRoutes(), ReadHeaderTimeout: headerWait}
 	wg.Go(func() { n.serve(ready, n.ready) })
+	wg.Go(func() { n.serve(metrics, n.metrics) })
 	n.log.Info().Str("node", n.settings.ID).Str("data-centre", n.settings.DataCentre).
 		Str("callers", n.settings.CallersListen).Msg("node started")
 	<-ctx.Done()
 	n.stop(callers)
 	_ = ready.Close()
 	n.leave()
+	_ = metrics.Close()
 	stopTasks()
 	wg.Wait()
 	n.log.Info().Msg("node stopped")
--- a/internal/node/composer/ready.go
+++ b/internal/node/composer/ready.go
@@ -10,7 +10,14 @@
 // MetricsPath is where counters and histograms are served.
 const MetricsPath = "/debug/vars"
 
-// readyRoutes returns the interface for the balancer and for metrics.
+// metricsRoutes returns the interface for counters and histograms.
+func metricsRoutes() http.Handler {
+	r := httprouter.New()
+	r.Handler(http.MethodGet, MetricsPath, expvar.Handler())
+	return r
+}
+
+// readyRoutes returns the interface for the balancer.
 func (n *Node) readyRoutes() http.Handler {
 	r := httprouter.New()
 	r.GET(n.ports.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -20,6 +27,5 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	r.Handler(http.MethodGet, MetricsPath, expvar.Handler())
 	return r
 }
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -5,6 +5,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
@@ -183,8 +184,7 @@
 	}
 	d.Endpoints.Done(e.ID, work, c.sign(rep.Attempt.Err()), c.rule)
 	if err := rep.Attempt.Err(); err != nil {
-		d.Log.Info().Str("request", c.job.request.ID).Str("endpoint", e.ID).Int("attempt", c.sends).
-			Str("outcome", rep.Attempt.Outcome().String()).Err(err).Msg("attempt failed")
+		explainer.LogAttempt(d.Log, c.job.request.ID, e.ID, c.sends, err)
 	}
 }
 
--- a/internal/request/dispatcher/read.go
+++ b/internal/request/dispatcher/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
@@ -46,7 +47,7 @@
 		c.sends--
 		return true
 	}
-	d.Log.Info().Str("request", r.ID).Str("endpoint", e.ID).Err(err).Msg("prompt not read")
+	explainer.LogReading(d.Log, r.ID, e.ID, err)
 	if c.job.ctx.Err() != nil {
 		c.result.Err = d.ended(c.job, err).WithOutcome(coder.NotRun)
 		return false
