--- /dev/null
+++ b/internal/usage/dater/dater_test.go
@@ -0,0 +1,48 @@
+package dater_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/usage/dater"
+)
+
+// TestScripts guards against a window of usage that follows the jump of a
+// machine's time of day.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		start := time.Unix(1000, 0)
+		steady, wall := timekeeper.NewFake(start), timekeeper.NewFake(start)
+		var offsets []time.Duration
+		d := &dater.Dater{Steady: steady, Wall: wall, Offsets: func() []time.Duration { return offsets }}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			arg := func(i int) time.Duration {
+				v, err := time.ParseDuration(td.CmdArgs[i].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return v
+			}
+			switch td.Cmd {
+			case "wall":
+				wall.Advance(arg(0))
+			case "pass":
+				steady.Advance(arg(0))
+				wall.Advance(arg(0))
+			case "store":
+				d.Read(arg(0))
+			case "published":
+				offsets = nil
+				for i := range td.CmdArgs {
+					offsets = append(offsets, arg(i))
+				}
+			}
+			own, ok := d.Own()
+			return fmt.Sprintf("now %v, own %v %v\n", d.Now().Sub(time.Unix(0, 0)), own, ok)
+		})
+	})
+}
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -68,7 +68,9 @@
 	defer l.mu.Unlock()
 	for _, u := range counts {
 		r := l.row(key{window: u.Window, node: u.Node}, local)
-		changed := false
+		// A row that was read back from the store may be of this data centre.
+		changed := local && !r.local
+		r.local = r.local || local
 		for _, c := range u.Counts {
 			if c.Requests > r.counts[c.Account] {
 				r.counts[c.Account], changed = c.Requests, true
