collector: a hub leaves a silent hub of another data centre

Ruled out: leaving a hub whose successor states to us; with a link that is cut one way, statements would then go to a node that is no hub.

--- a/internal/inner/courier/link.go
+++ b/internal/inner/courier/link.go
@@ -63,11 +63,7 @@
 			return err
 		}
 		last = decodeStatement(m)
-		summary := s.h.Answer(last)
-		if last.Hub {
-			continue
-		}
-		if err := stream.Send(encodeSummary(summary)); err != nil {
+		if err := stream.Send(encodeSummary(s.h.Answer(last))); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/member/collector/collector_test.go
@@ -0,0 +1,261 @@
+package collector_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/member/collector"
+	"foxtailflow.example/foxtailflow/internal/member/registrar"
+	"foxtailflow.example/foxtailflow/internal/usage/ledger"
+)
+
+// TestScripts guards against nodes that decide from the load of nodes which are
+// gone, count a load twice, or stay without a hub: each command is a fault, work
+// or time that passes, the output what each node knows of the others. Time is
+// that of a synctest bubble.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			w := &world{ctx: ctx, nodes: make(map[string]*node), silent: make(map[string]bool)}
+			datadriven.RunTest(t, path, w.do)
+		})
+	})
+}
+
+// world has nodes; the first letter of a node's name is its data centre.
+type world struct {
+	ctx context.Context
+
+	mu     sync.Mutex
+	rows   []registrar.Node
+	nodes  map[string]*node
+	silent map[string]bool
+}
+
+// Of returns the rows of a data centre.
+func (w *world) Of(dataCentre string) []registrar.Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(w.rows), func(n registrar.Node) bool { return n.DataCentre != dataCentre })
+}
+
+// DataCentres returns the data centres that have rows.
+func (w *world) DataCentres() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for _, n := range w.rows {
+		names = append(names, n.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (w *world) isSilent(names ...string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(names, func(name string) bool { return w.silent[name] })
+}
+
+func (w *world) node(name string) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[name]
+}
+
+type node struct {
+	world     *world
+	collector *collector.Collector
+	ledger    *ledger.Ledger
+	stop      context.CancelFunc
+
+	mu      sync.Mutex
+	engines []courier.EngineWork
+	others  []courier.EngineWork
+	learned []string
+}
+
+// Engines returns the work of the node.
+func (n *node) Engines() []courier.EngineWork {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.engines)
+}
+
+// SetOthers takes the work of the others.
+func (n *node) SetOthers(engines []courier.EngineWork, _ time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.others = engines
+}
+
+// Learn takes a beginning.
+func (n *node) Learn(b courier.Beginning) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.learned = append(n.learned, fmt.Sprint(b.Keys))
+}
+
+// Join opens a stream to a node.
+func (n *node) Join(ctx context.Context, address string) (collector.Stream, error) {
+	peer := n.world.node(address)
+	if peer == nil {
+		return nil, errors.New("refused")
+	}
+	s := &stream{ctx: ctx, world: n.world, from: n.collector.Self.ID, peer: peer, in: make(chan courier.Summary, 100)}
+	context.AfterFunc(ctx, s.left)
+	return s, nil
+}
+
+// Forget does nothing: these streams share no connection.
+func (n *node) Forget(string) {}
+
+type stream struct {
+	ctx   context.Context
+	world *world
+	from  string
+	peer  *node
+	in    chan courier.Summary
+
+	mu   sync.Mutex
+	last courier.Statement
+}
+
+// Send hands a statement over, unless one of the sides is silent.
+func (s *stream) Send(m courier.Statement) error {
+	if s.world.isSilent(s.from, s.peer.collector.Self.ID) {
+		return nil
+	}
+	if s.world.node(s.peer.collector.Self.ID) != s.peer {
+		return errors.New("reset")
+	}
+	s.mu.Lock()
+	s.last = m
+	s.mu.Unlock()
+	s.in <- s.peer.collector.Answer(m)
+	return nil
+}
+
+// Receive waits for a summary.
+func (s *stream) Receive() (courier.Summary, error) {
+	select {
+	case <-s.ctx.Done():
+		return courier.Summary{}, s.ctx.Err()
+	case m := <-s.in:
+		return m, nil
+	}
+}
+
+func (s *stream) left() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last.Node != "" && !s.world.isSilent(s.from) {
+		s.peer.collector.Left(s.last)
+	}
+}
+
+func (w *world) start(name string) {
+	ctx, stop := context.WithCancel(w.ctx)
+	self := registrar.Node{ID: name, Address: name, DataCentre: name[:1], Incarnation: uint64(time.Now().UnixNano())}
+	n := &node{world: w, stop: stop, ledger: &ledger.Ledger{Self: name}}
+	n.collector = &collector.Collector{
+		Clock: timekeeper.System{}, Log: zerolog.Nop(), Self: self, Nodes: w, Links: n, Work: n, Usage: n.ledger,
+	}
+	w.mu.Lock()
+	w.rows = append(slices.DeleteFunc(w.rows, func(r registrar.Node) bool { return r.ID == name }), self)
+	w.nodes[name] = n
+	w.mu.Unlock()
+	go n.collector.Run(ctx)
+}
+
+func (w *world) do(t *testing.T, d *datadriven.TestData) string {
+	arg := func(i int) string { return d.CmdArgs[i].Key }
+	switch d.Cmd {
+	case "start":
+		for i := range d.CmdArgs {
+			w.start(arg(i))
+		}
+		return ""
+	case "work":
+		n := w.node(arg(0))
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.engines = nil
+		for _, a := range d.CmdArgs[1:] {
+			requests, err := strconv.Atoi(a.Vals[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.engines = append(n.engines, courier.EngineWork{Engine: courier.EngineOf(a.Key), Requests: requests, Reading: 100 * requests})
+		}
+		return ""
+	case "note":
+		key, err := strconv.ParseUint(arg(2), 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.node(arg(0)).collector.Note(arg(1), []uint64{key})
+		return ""
+	case "count":
+		w.node(arg(0)).ledger.Count(1, arg(1))
+		return ""
+	case "kill":
+		n := w.node(arg(0))
+		w.mu.Lock()
+		delete(w.nodes, arg(0))
+		w.mu.Unlock()
+		n.stop()
+		return ""
+	case "silence", "heal":
+		w.mu.Lock()
+		w.silent[arg(0)] = d.Cmd == "silence"
+		w.mu.Unlock()
+		return ""
+	case "wait":
+		span, err := time.ParseDuration(arg(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(span)
+		synctest.Wait()
+		return w.state()
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+// state shows each node: its hub, the number of nodes that it knows of, the
+// requests of the others at engines, the beginnings that it has learned, and the
+// counts of usage.
+func (w *world) state() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+		n := w.nodes[name]
+		n.mu.Lock()
+		requests := 0
+		for _, e := range n.others {
+			requests += e.Requests
+		}
+		fmt.Fprintf(&b, "%s: hub %s, %d nodes, others' requests %d, learned %v, counted %v\n",
+			name, n.collector.Hub(), n.collector.Count(), requests, n.learned, n.ledger.Total(1))
+		n.learned = nil
+		n.mu.Unlock()
+	}
+	return b.String()
+}
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -6,6 +6,8 @@
 
 	"github.com/sourcegraph/conc"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 )
@@ -164,13 +166,21 @@
 	}
 }
 
+// stateTo states the sums to a hub until it is silent or another node ranks
+// before it.
 func (c *Collector) stateTo(ctx context.Context, n registrar.Node) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	stream, err := c.Links.Join(ctx, n.Address)
 	if err != nil {
 		return err
 	}
+	var answered keeper.Cell[time.Time]
+	answered.Update(func(time.Time) (time.Time, bool) { return c.Clock.Now(), true })
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel(nil)
+	wg.Go(func() { cancel(c.receiveFrom(stream, &answered)) })
 	var told, revision uint64
 	for c.IsHub() {
 		var s courier.Statement
@@ -179,7 +189,10 @@
 			return err
 		}
 		if err := c.Clock.Sleep(ctx, hubEvery); err != nil {
-			return err
+			return context.Cause(ctx)
+		}
+		if c.Clock.Now().Sub(answered.Get()) > silentAfter {
+			return coder.New(coder.NodeNotReached, "the hub of another data centre is silent")
 		}
 		if first, ok := c.pick(n.DataCentre); !ok || first.ID != n.ID {
 			return nil
@@ -188,6 +201,18 @@
 	return nil
 }
 
+// receiveFrom notes when a hub answers, until the stream ends. Without the
+// answers, a hub that is suspended would be stated to as long as its machine
+// acknowledges bytes, and its successor would learn nothing.
+func (c *Collector) receiveFrom(stream Stream, answered *keeper.Cell[time.Time]) error {
+	for {
+		if _, err := stream.Receive(); err != nil {
+			return err
+		}
+		answered.Update(func(time.Time) (time.Time, bool) { return c.Clock.Now(), true })
+	}
+}
+
 // hubStatement returns the sums of this data centre with what is new since.
 func (c *Collector) hubStatement(told, revision uint64) (courier.Statement, uint64, uint64) {
 	usage, revision := c.Usage.Since(revision, false)
