--- a/internal/base/logger/logger_test.go
+++ b/internal/base/logger/logger_test.go
@@ -66,7 +66,9 @@
 		words := strings.Fields(line)
 		switch words[0] {
 		case "write":
-			fmt.Fprintln(w, words[1])
+			if _, err := fmt.Fprintln(w, words[1]); err != nil {
+				t.Fatal(err)
+			}
 		case "info", "warn":
 			level, err := zerolog.ParseLevel(words[0])
 			if err != nil {
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -135,7 +135,7 @@
 		}
 		_, _ = fmt.Fprintf(&b, "  rejected %s: %s\n", name, reason)
 	}
-	if figures := append(l.Figures, l.Numbers...); len(figures) > 0 {
+	if figures := slices.Concat(l.Figures, l.Numbers); len(figures) > 0 {
 		_, _ = fmt.Fprintf(&b, "  figures %s\n", strings.Join(figures, ", "))
 	}
 	return b.String()
