placer, composer, lister: decisions that grow with the fleet, not its square

Each beginning that another node told of copied the whole table to find an engine by its short name, and each changed entry decoded all entries.

Ruled out: drawing a few engines by chance; the holder of a beginning must be among them.

--- /dev/null
+++ b/internal/decision/placer/bench_test.go
@@ -0,0 +1,37 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/decision/placer"
+)
+
+// BenchmarkPlan shows what a decision costs in a fleet of 168 engines.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Unix(1000, 0)
+	d := placer.Decision{
+		Need:   placer.Need{DataCentre: "a", Prompt: 6000, Body: 24_000, Key: 7, Left: time.Second, Now: now},
+		Rates:  placer.DefaultRates(),
+		Engine: definer.Engine{HandleLife: time.Second, Fetches: true, TokenBytes: 1000, LinkMbps: 10_000},
+		Slots:  12,
+	}
+	for i := range 168 {
+		role := picker.Prefill
+		if i%5 == 0 {
+			role = picker.Decode
+		}
+		d.Engines = append(d.Engines, placer.Candidate{Endpoint: picker.Endpoint{
+			ID: fmt.Sprint("engine-", i), Address: fmt.Sprint("10.0.0.", i), DataCentre: string(rune('a' + i%3)),
+			Report: picker.Report{Role: role}, Elsewhere: picker.Elsewhere{At: now, Reading: i * 100},
+		}})
+	}
+	for b.Loop() {
+		if p := d.Plan(); !p.Run.OK {
+			b.Fatal("nothing chosen")
+		}
+	}
+}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -113,18 +113,20 @@
 
 // Plan returns where the request goes, or how long it has to wait for an engine.
 func (d Decision) Plan() picker.Plan {
-	p := d.now()
+	c := compare(&d)
+	p := c.now()
 	if !p.Run.OK {
-		p.Wait = d.wait()
+		p.Wait = c.wait()
 	}
 	return p
 }
 
 // wait returns the time until an engine that has refused work may take more.
-func (d Decision) wait() (least time.Duration) {
-	for _, e := range d.Engines {
-		w := e.RefusedUntil.Sub(d.Need.Now)
-		if picker.Status(e.Endpoint) == "" && e.Report.Role.Serves(picker.Decode) && w > 0 && (least == 0 || w < least) {
+func (c *comparison) wait() (least time.Duration) {
+	for i := range c.Engines {
+		e := &c.estimates[i]
+		w := c.Engines[i].RefusedUntil.Sub(c.Need.Now)
+		if e.status == "" && e.role.Serves(picker.Decode) && w > 0 && (least == 0 || w < least) {
 			least = w
 		}
 	}
@@ -132,61 +134,62 @@
 }
 
 // now returns where the request can go now.
-func (d Decision) now() picker.Plan {
-	holder := d.holder()
-	direct, directCost := d.direct(holder)
-	if d.Need.Direct || d.Engine.HandleLife <= 0 {
-		return d.plan(direct, -1, holder)
+func (c *comparison) now() picker.Plan {
+	holder := c.holder()
+	direct, directCost := c.direct(holder)
+	if c.Need.Direct || c.Engine.HandleLife <= 0 {
+		return c.plan(direct, -1, holder)
 	}
-	if d.Need.Source != "" {
-		return picker.Plan{Run: d.choice(d.run(d.source()), "takes the prompt over")}
+	if c.Need.Source != "" {
+		return picker.Plan{Run: c.choice(c.run(c.source()), "takes the prompt over")}
 	}
-	reader, readCost := d.reader(holder)
-	if over := d.overflow(reader, holder); over >= 0 {
-		return d.plan(d.run(over), over, holder)
+	reader, readCost := c.reader(holder)
+	if over := c.overflow(reader, holder); over >= 0 {
+		return c.plan(c.run(over), over, holder)
 	}
-	if reader < 0 || direct >= 0 && directCost <= readCost && d.left(direct, holder) <= directMost {
-		return d.plan(direct, -1, holder)
+	if reader < 0 || direct >= 0 && directCost <= readCost && c.left(direct, holder) <= directMost {
+		return c.plan(direct, -1, holder)
 	}
-	return d.plan(d.run(reader), reader, holder)
+	return c.plan(c.run(reader), reader, holder)
 }
 
 // plan returns the plan of two engines by their places; -1 means none.
-func (d Decision) plan(run, read, holder int) picker.Plan {
-	p := picker.Plan{Run: d.choice(run, "reads the prompt itself"), Read: d.choice(read, "reads the prompt")}
+func (c *comparison) plan(run, read, holder int) picker.Plan {
+	p := picker.Plan{Run: c.choice(run, "reads the prompt itself"), Read: c.choice(read, "reads the prompt")}
 	reads := run
 	if read >= 0 {
 		reads = read
 		p.Run.Reason = "answers"
 	}
-	if reads >= 0 && d.copies(reads, holder) > 0 {
-		p.Fetch = d.Engines[holder].Address
+	if reads >= 0 && c.copies(reads, holder) > 0 {
+		p.Fetch = c.Engines[holder].Address
 	}
 	return p
 }
 
-func (d Decision) choice(i int, reason string) picker.Choice {
+func (c *comparison) choice(i int, reason string) picker.Choice {
 	if i < 0 {
 		return picker.Choice{}
 	}
-	e := d.Engines[i]
-	b := picker.Basis{Held: e.Held, Waiting: int(d.waiting(e)), InWork: e.Sent + int(d.others(e)), Age: -1}
+	e := &c.Engines[i]
+	b := picker.Basis{Held: e.Held, Waiting: int(c.estimates[i].waiting), InWork: e.Sent + int(c.others(e)), Age: -1}
 	if !e.Elsewhere.At.IsZero() {
-		b.Age = d.Need.Now.Sub(e.Elsewhere.At)
+		b.Age = c.Need.Now.Sub(e.Elsewhere.At)
 	}
 	return picker.Choice{Endpoint: e.Endpoint, OK: true, Reason: reason, Basis: b}
 }
 
 // holder returns the engine that holds the longest beginning, one in the data
 // centre before others; -1 if none holds any.
-func (d Decision) holder() int {
+func (c *comparison) holder() int {
 	best := -1
-	for i, e := range d.Engines {
-		if e.Held == 0 || picker.Status(e.Endpoint) != "" {
+	for i := range c.Engines {
+		e := &c.Engines[i]
+		if e.Held == 0 || c.estimates[i].status != "" {
 			continue
 		}
-		if best < 0 || e.Held > d.Engines[best].Held ||
-			e.Held == d.Engines[best].Held && e.DataCentre == d.Need.DataCentre {
+		if best < 0 || e.Held > c.Engines[best].Held ||
+			e.Held == c.Engines[best].Held && e.DataCentre == c.Need.DataCentre {
 			best = i
 		}
 	}
@@ -194,58 +197,45 @@
 }
 
 // source returns the place of the engine that has read the prompt.
-func (d Decision) source() int {
-	for i, e := range d.Engines {
-		if e.Address == d.Need.Source {
+func (c *comparison) source() int {
+	for i := range c.Engines {
+		if c.Engines[i].Address == c.Need.Source {
 			return i
 		}
 	}
 	return -1
 }
 
-// fit reports whether an engine takes new work of a phase.
-func (d Decision) fit(e Candidate, phase picker.Role) bool {
-	if picker.Status(e.Endpoint) != "" || !e.Report.Role.Serves(phase) || d.Need.Now.Before(e.RefusedUntil) {
-		return false
-	}
-	for _, id := range d.Need.Tried {
-		if id == e.ID {
-			return false
-		}
-	}
-	return true
-}
-
 // best returns the fit engine of least cost, or -1.
-func (d Decision) best(phase picker.Role, price func(i int) cost) (best int, least cost) {
+func (c *comparison) best(phase picker.Role, price func(i int) cost) (best int, least cost) {
 	best = -1
-	for i, e := range d.Engines {
-		if !d.fit(e, phase) {
+	for i := range c.Engines {
+		if !c.fit(i, phase) {
 			continue
 		}
-		if c := price(i); best < 0 || c < least {
-			best, least = i, c
+		if p := price(i); best < 0 || p < least {
+			best, least = i, p
 		}
 	}
 	return best, least
 }
 
 // direct returns the engine that would best do all the work itself.
-func (d Decision) direct(holder int) (int, cost) {
-	return d.best(picker.Decode, func(i int) cost {
-		return d.reading(i, holder, d.Rates.Direct) + d.answering(i) + d.crossing(i)
+func (c *comparison) direct(holder int) (int, cost) {
+	return c.best(picker.Decode, func(i int) cost {
+		return c.reading(i, holder, c.Rates.Direct) + c.estimates[i].answering + c.estimates[i].crossing
 	})
 }
 
 // reader returns the engine that would best read the prompt for another, with
 // the cost of the answer included.
-func (d Decision) reader(holder int) (int, cost) {
-	return d.best(picker.Prefill, func(i int) cost {
-		run := d.run(i)
+func (c *comparison) reader(holder int) (int, cost) {
+	return c.best(picker.Prefill, func(i int) cost {
+		run, running := c.answerer(i)
 		if run < 0 {
-			return d.reading(i, holder, d.Rates.Read) + queueWeight*float64(d.Slots)
+			return c.reading(i, holder, c.Rates.Read) + queueWeight*float64(c.Slots)
 		}
-		return d.reading(i, holder, d.Rates.Read) + d.crossing(i) + d.running(run, i)
+		return c.reading(i, holder, c.Rates.Read) + c.estimates[i].crossing + running
 	})
 }
 
@@ -253,24 +243,25 @@
 // read: the one with the most waiting in the data centre, so that late answers
 // delay each other and not those that can still be in time. It returns -1 if
 // the prompt is in time at the best engine.
-func (d Decision) overflow(best, holder int) int {
-	if best < 0 || d.Need.Prompt < overflowFrom {
+func (c *comparison) overflow(best, holder int) int {
+	if best < 0 || c.Need.Prompt < overflowFrom {
 		return -1
 	}
-	late := d.Need.Left <= 0
+	late := c.Need.Left <= 0
 	if !late {
-		first := d.service(best, holder, d.Rates.Read) + float64(d.Rates.Handover.Milliseconds()) + firstToken
-		late = first > float64(d.Need.Left.Milliseconds())
+		first := c.service(best, holder, c.Rates.Read) + float64(c.Rates.Handover.Milliseconds()) + firstToken
+		late = first > float64(c.Need.Left.Milliseconds())
 	}
 	if !late {
 		return -1
 	}
 	over, most := -1, 0.0
-	for i, e := range d.Engines {
-		if !d.fit(e, picker.Prefill) || e.DataCentre != d.Engines[best].DataCentre {
+	for i := range c.Engines {
+		e := &c.Engines[i]
+		if !c.fit(i, picker.Prefill) || e.DataCentre != c.Engines[best].DataCentre {
 			continue
 		}
-		if w := d.waiting(e) + score(0, e.ID); over < 0 || w > most {
+		if w := c.estimates[i].waiting + score(0, e.ID); over < 0 || w > most {
 			over, most = i, w
 		}
 	}
@@ -278,127 +269,7 @@
 }
 
 // run returns the engine that best answers a prompt which another has read.
-func (d Decision) run(reader int) int {
-	best, _ := d.best(picker.Decode, func(i int) cost { return d.running(i, reader) })
+func (c *comparison) run(reader int) int {
+	best, _ := c.answerer(reader)
 	return best
 }
-
-// running is the cost of an answer at one engine to a prompt read at another.
-func (d Decision) running(i, reader int) cost {
-	c := d.answering(i) + d.crossing(i) + float64(d.Rates.Handover.Milliseconds())
-	if reader >= 0 {
-		c += d.copying(d.Need.Prompt, d.Engines[i].DataCentre != d.Engines[reader].DataCentre)
-	}
-	return c
-}
-
-// copies returns the tokens that an engine can copy from the holder.
-func (d Decision) copies(i, holder int) int {
-	if holder < 0 || holder == i || !d.Engine.Fetches {
-		return 0
-	}
-	if n := d.Engines[holder].Held - d.Engines[i].Held; n >= minCopy {
-		return n
-	}
-	return 0
-}
-
-// left returns the tokens that an engine has to read of the prompt.
-func (d Decision) left(i, holder int) int {
-	return max(d.Need.Prompt-d.Engines[i].Held-d.copies(i, holder), 0)
-}
-
-// reading is the cost of reading the prompt at an engine, with what waits there.
-func (d Decision) reading(i, holder int, rate float64) cost {
-	e := d.Engines[i]
-	left := d.left(i, holder)
-	c := d.service(i, holder, rate)
-	if n := d.copies(i, holder); n > 0 {
-		c += d.copying(n, e.DataCentre != d.Engines[holder].DataCentre)
-	}
-	if left > spreadTokens {
-		c += spread * score(d.Need.Key, e.ID)
-	}
-	return c
-}
-
-// service is the time until an engine has read the prompt, in milliseconds.
-func (d Decision) service(i, holder int, rate float64) cost {
-	return (d.waiting(d.Engines[i]) + float64(d.left(i, holder))) / rate
-}
-
-// waiting estimates the prompt tokens that an engine has to read before.
-func (d Decision) waiting(e Candidate) float64 {
-	if d.heard(e) {
-		return float64(e.SentWork + e.Elsewhere.Reading)
-	}
-	return float64(e.SentWork) + otherWork*d.others(e)
-}
-
-// heard reports whether what other nodes have stated is recent.
-func (d Decision) heard(e Candidate) bool {
-	return !e.Elsewhere.At.IsZero() && d.Need.Now.Sub(e.Elsewhere.At) < elsewhereLife
-}
-
-// others estimates the requests of other nodes at an engine.
-func (d Decision) others(e Candidate) float64 {
-	if d.heard(e) {
-		return float64(e.Elsewhere.Requests)
-	}
-	age := d.Need.Now.Sub(e.Report.At)
-	if e.Report.At.IsZero() || age >= reportLife {
-		return 0
-	}
-	return float64(max(e.Requests()-e.Sent, 0)) * (1 - float64(age)/float64(reportLife))
-}
-
-// answering is the cost of one more answer at an engine.
-func (d Decision) answering(i int) cost {
-	e := d.Engines[i]
-	n := float64(e.Sent) + d.others(e)
-	c := n * requestWeight
-	slots := e.Slots
-	if slots == 0 {
-		slots = d.Slots
-	}
-	if over := n + 1 - float64(slots); slots > 0 && over > 0 {
-		c += over * queueWeight
-	}
-	return c
-}
-
-// crossing is the cost of sending the request to another data centre.
-func (d Decision) crossing(i int) cost {
-	if d.Engines[i].DataCentre == d.Need.DataCentre {
-		return 0
-	}
-	return float64(d.Need.Body+headBytes) / crossBytes
-}
-
-// copying is the cost of copying tokens from one engine to another.
-func (d Decision) copying(tokens int, across bool) cost {
-	bytes := float64(tokens) * float64(d.Engine.TokenBytes)
-	weight := copyWeight
-	perMS := d.Engine.LinkMbps * 125
-	if across {
-		weight, perMS = crossCopyWeight, perMS/2
-	}
-	c := bytes / 1e9 * weight
-	if perMS > 0 {
-		c += bytes / perMS
-	}
-	return c
-}
-
-// score returns a number from 0 to below 1 that each pair of a key and an
-// endpoint has on all nodes.
-func score(key uint64, id string) float64 {
-	h := key ^ 0x9e3779b97f4a7c15
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * 0x100000001b3
-	}
-	h ^= h >> 32
-	h *= 0xd6e8feb86659fd93
-	h ^= h >> 32
-	return float64(h>>11) / (1 << 53)
-}
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -41,10 +41,19 @@
 	changed uint64
 	loaded  bool
 	vms     map[string]supplier.VM
+	// rows has the entries by their keys, so that a change of one decodes one.
+	rows map[string]entry
 	// lapsed are endpoints whose entries were missing after an outage.
 	lapsed map[string]supplier.VM
 }
 
+// entry is what a row names, by the version of the row.
+type entry struct {
+	version uint64
+	vm      supplier.VM
+	err     error
+}
+
 // List returns the endpoints and the age of the list.
 func (l *Lister) List(context.Context) ([]supplier.VM, time.Duration, error) {
 	s := l.Snapshot()
@@ -71,13 +80,23 @@
 
 // renew decodes the entries anew.
 func (l *Lister) renew(before list, s follower.Snapshot, now time.Time) list {
-	out := list{changed: s.Changed, loaded: s.Loaded(), vms: make(map[string]supplier.VM), lapsed: make(map[string]supplier.VM)}
+	out := list{
+		changed: s.Changed, loaded: s.Loaded(), vms: make(map[string]supplier.VM),
+		rows: make(map[string]entry), lapsed: make(map[string]supplier.VM),
+	}
 	for _, row := range s.Rows() {
-		vm, err := l.Decode(row)
-		if err != nil {
-			l.Log.Warn().Str("key", row.Key).Err(err).Msg("entry names no endpoint")
+		e, ok := before.rows[row.Key]
+		if !ok || e.version != row.Version {
+			e = entry{version: row.Version}
+			if e.vm, e.err = l.Decode(row); e.err != nil {
+				l.Log.Warn().Str("key", row.Key).Err(e.err).Msg("entry names no endpoint")
+			}
+		}
+		out.rows[row.Key] = e
+		if e.err != nil {
 			continue
 		}
+		vm := e.vm
 		if old, ok := before.vms[vm.ID]; !ok || old != vm {
 			l.Log.Info().Str("endpoint", vm.ID).Str("address", vm.Address).Str("deployment", vm.Deployment).
 				Str("state", string(vm.State)).Str("role", vm.Role).Uint64("version", row.Version).Msg("endpoint listed")
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
@@ -56,7 +57,7 @@
 		Self:  self,
 		Nodes: m.registrar,
 		Links: streams{m.links},
-		Work:  work{observer: n.observer, index: n.index, changing: func() map[string]bool { return n.duties.director.Changing() }},
+		Work:  work{observer: n.observer, index: n.index, changing: func() map[string]bool { return n.duties.director.Changing() }, names: &keeper.Cell[map[courier.Engine]string]{}},
 	}
 	m.nodes = n.follow(registrar.Prefix, listWait, m.registrar.Apply)
 	m.server = courier.NewServer(peers{n})
@@ -95,6 +96,9 @@
 	index    *indexer.Index
 	// changing returns the engines whose role this node is changing.
 	changing func() map[string]bool
+	// names has the endpoints by their short names, as of the last summary; a
+	// beginning is told of many times a second.
+	names *keeper.Cell[map[courier.Engine]string]
 }
 
 // Engines returns what this node has in progress.
@@ -119,20 +123,21 @@
 		by[e.Engine] = e
 	}
 	changing := w.changing()
+	names := make(map[courier.Engine]string)
 	for _, e := range w.observer.All() {
-		o := by[courier.EngineOf(e.ID)]
+		short := courier.EngineOf(e.ID)
+		names[short] = e.ID
+		o := by[short]
 		elsewhere := picker.Elsewhere{At: at, Reading: o.Reading, Requests: o.Requests}
 		w.observer.SetElsewhere(e.ID, elsewhere, o.Changing || changing[e.ID])
 	}
+	w.names.Update(func(map[courier.Engine]string) (map[courier.Engine]string, bool) { return names, true })
 }
 
 // Learn takes a beginning that an engine has read for another node.
 func (w work) Learn(b courier.Beginning) {
-	for _, e := range w.observer.All() {
-		if courier.EngineOf(e.ID) == b.Engine {
-			w.index.StoreAt(e.ID, b.Keys, w.observer.Clock.Now().Add(-b.Age))
-			return
-		}
+	if id, ok := w.names.Get()[b.Engine]; ok {
+		w.index.StoreAt(id, b.Keys, w.observer.Clock.Now().Add(-b.Age))
 	}
 }
 
--- a/internal/request/chooser/place.go
+++ b/internal/request/chooser/place.go
@@ -41,8 +41,10 @@
 	if dep, ok := c.deployment(r.Route.Deployment); ok {
 		d.Engine, d.Slots = dep.Engine, dep.Slots
 	}
-	for _, e := range c.Observer.Of(r.Route.Deployment) {
-		d.Engines = append(d.Engines, placer.Candidate{Endpoint: e, Held: held[e.ID]})
+	endpoints := c.Observer.Of(r.Route.Deployment)
+	d.Engines = make([]placer.Candidate, len(endpoints))
+	for i, e := range endpoints {
+		d.Engines[i] = placer.Candidate{Endpoint: e, Held: held[e.ID]}
 	}
 	plan := d.Plan()
 	for _, choice := range []picker.Choice{plan.Run, plan.Read} {
