--- a/internal/authority/leaser/leaser_test.go
+++ b/internal/authority/leaser/leaser_test.go
@@ -73,6 +73,15 @@
 			t.Fatal(err)
 		}
 		w.run(t, span)
+	case "restart":
+		// The name of a process is that of its node and of its start.
+		name, _, _ := strings.Cut(arg(0), ".")
+		start := arg(1)
+		delete(w.nodes, arg(0))
+		w.add(start, 0)
+		w.nodes[start].Former = func(holder string) bool { return holder != start && strings.HasPrefix(holder, name+".") }
+	case "hurry":
+		w.nodes[arg(0)].Hurry()
 	case "pause", "resume":
 		w.paused[arg(0)] = d.Cmd == "pause"
 	case "release":
