--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -7,6 +7,7 @@
 package explainer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,7 @@
 	FieldChosen     = "chosen"
 	FieldReason     = "reason"
 	FieldReader     = "reader"
+	FieldWhy        = "reader-reason"
 	FieldFetch      = "fetch"
 	FieldRejected   = "rejected"
 	FieldCode       = "code"
@@ -96,7 +98,7 @@
 		line = line.Dict(FieldBasis, basis(p.Run.Basis))
 	}
 	if p.Read.OK {
-		line = line.Str(FieldReader, p.Read.Endpoint.ID).Dict(FieldReaders, basis(p.Read.Basis))
+		line = line.Str(FieldReader, p.Read.Endpoint.ID).Str(FieldWhy, p.Read.Reason).Dict(FieldReaders, basis(p.Read.Basis))
 	}
 	if p.Fetch != "" {
 		line = line.Str(FieldFetch, p.Fetch)
@@ -123,10 +125,15 @@
 	f := coder.Of(err)
 	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, requestID).Str(FieldEndpoint, endpoint).
 		Int(FieldAttempt, attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+	withCause(line, f).Msg("attempt failed")
+}
+
+// withCause adds what a failure wraps, without the message that it begins with.
+func withCause(line *zerolog.Event, f coder.Error) *zerolog.Event {
 	if cause := f.Unwrap(); cause != nil {
-		line = line.Str(FieldCause, cause.Error())
+		return line.Str(FieldCause, strings.TrimPrefix(cause.Error(), f.Message()+": "))
 	}
-	line.Msg("attempt failed")
+	return line
 }
 
 // Ending is how a request has ended.
@@ -178,9 +185,7 @@
 	if e.Err != nil {
 		f := coder.Of(e.Err)
 		line = line.Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
-		if cause := f.Unwrap(); cause != nil {
-			line = line.Str(FieldCause, cause.Error())
-		}
+		line = withCause(line, f)
 		if d := f.RetryAfter(); d > 0 {
 			line = line.Str(FieldRetry, d.Round(time.Millisecond).String())
 		}
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,21 @@
 		Out:      []picker.Rejected{{Endpoint: "engine:3", Reason: picker.ReasonLeaving}},
 	})
 	explainer.LogRouting(log, "req-1", "baden", "wichse-llm", picker.Choice{})
+	explainer.LogPlan(log, "req-3", "baden", "wichse-llm", picker.Plan{
+		Run:   picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: "engine-1"}, Reason: "answers", Basis: picker.Basis{InWork: 3, Age: 40 * time.Millisecond}},
+		Read:  picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: "engine-2"}, Reason: "costs least", Basis: picker.Basis{Held: 900, Waiting: 500, Age: -1}},
+		Fetch: "10.0.0.9:80",
+	})
+	explainer.LogReading(log, "req-3", "engine-2", coder.New(coder.ConnectionLost, "the connection broke"))
+	explainer.LogAttempt(log, "req-3", "engine-1", 1, coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "the answer was cut"))
+	explainer.LogEnd(log, explainer.Ending{
+		Request: "req-3", Account: "baden", Deployment: "wichse-llm", Route: "batch", Endpoint: "engine-1",
+		Status: 502, Attempts: 2, Config: 7, Took: 80 * time.Millisecond, Err: coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "the answer was cut"),
+	})
+	explainer.LogEnd(log, explainer.Ending{
+		Request: "req-3", Endpoint: "engine-1", Status: 200, Attempts: 1, Config: 7,
+		Read: 20 * time.Millisecond, First: 30 * time.Millisecond, Took: 90 * time.Millisecond,
+	})
 	explainer.LogRefusal(log, "req-2", "baden", "wichse-llm",
 		coder.Refuse(coder.WouldMissTime, "the queue is longer than the deadline").WithRetryAfter(1500*time.Millisecond))
 	explainer.LogRoles(log, "wichse-llm", balancer.Decision{
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -31,12 +31,14 @@
 	Rejected   []string
 	Figures    []string
 	Reader     string
-	Fetch      string
-	Endpoint   string
-	Outcome    string
-	Cause      string
-	Route      string
-	Status     int
+	// Why is why that engine reads the prompt.
+	Why      string
+	Fetch    string
+	Endpoint string
+	Outcome  string
+	Cause    string
+	Route    string
+	Status   int
 	// Numbers are the other figures of a line.
 	Numbers []string
 }
@@ -118,7 +120,7 @@
 	case l.Decision == Routing:
 		_, _ = fmt.Fprintf(&b, "  chose %s: %s\n", l.Chosen, l.Reason)
 		if l.Reader != "" {
-			_, _ = fmt.Fprintf(&b, "  %s reads the prompt\n", l.Reader)
+			_, _ = fmt.Fprintf(&b, "  %s reads the prompt: %s\n", l.Reader, l.Why)
 		}
 		if l.Fetch != "" {
 			_, _ = fmt.Fprintf(&b, "  copies the beginning from %s\n", l.Fetch)
@@ -162,7 +164,7 @@
 	texts := map[string]*string{
 		"time": &l.Time, "node": &l.Node, FieldDecision: &l.Decision, FieldRequest: &l.Request,
 		FieldAccount: &l.Account, FieldDeployment: &l.Deployment, FieldChosen: &l.Chosen,
-		FieldReason: &l.Reason, FieldRetry: &l.RetryAfter, FieldReader: &l.Reader, FieldFetch: &l.Fetch,
+		FieldReason: &l.Reason, FieldRetry: &l.RetryAfter, FieldReader: &l.Reader, FieldWhy: &l.Why, FieldFetch: &l.Fetch,
 		FieldEndpoint: &l.Endpoint, FieldOutcome: &l.Outcome, FieldCause: &l.Cause, FieldRoute: &l.Route,
 	}
 	numbers := map[string]*int{FieldCode: &l.Code, FieldStatus: &l.Status}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -145,7 +145,9 @@
 	}
 	reader, readCost := c.reader(holder)
 	if over := c.overflow(reader, holder); over >= 0 {
-		return c.plan(c.run(over), over, holder)
+		p := c.plan(c.run(over), over, holder)
+		p.Read.Reason = "late wherever it is read"
+		return p
 	}
 	if reader < 0 || direct >= 0 && directCost <= readCost && c.left(direct, holder) <= directMost {
 		return c.plan(direct, -1, holder)
@@ -155,7 +157,7 @@
 
 // plan returns the plan of two engines by their places; -1 means none.
 func (c *comparison) plan(run, read, holder int) picker.Plan {
-	p := picker.Plan{Run: c.choice(run, "reads the prompt itself"), Read: c.choice(read, "reads the prompt")}
+	p := picker.Plan{Run: c.choice(run, "reads the prompt itself"), Read: c.choice(read, "costs least")}
 	reads := run
 	if read >= 0 {
 		reads = read
