composer: a node that stops takes requests until the balancer has noticed

Idle connections were closed at once as well, also those on which a request was on its way.

Ruled out: nodes that start late (configuration in force 0.25 s after the start).

--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -50,6 +50,9 @@
 	Seeds []string
 	// Stop is the time from the signal to stop until the process is killed.
 	Stop time.Duration
+	// LeaveWait is how long the balancer may take to notice that the node is not
+	// ready any more.
+	LeaveWait time.Duration
 	// Lapse is how long a living endpoint takes to write its entry again.
 	Lapse time.Duration
 	// Workers is the number of requests in work at once.
@@ -320,7 +323,7 @@
 		runner.Pool[*dispatcher.Job]{Workers: n.settings.Workers, Source: n.queue, Handle: n.handler.Handle}.Run(tasks)
 	})
 	callers := &http.Server{
-		Handler:           n.ports.Callers(n.Config, n.handler.Do),
+		Handler:           n.closing(n.ports.Callers(n.Config, n.handler.Do)),
 		ReadHeaderTimeout: headerWait,
 		MaxHeaderBytes:    maxHeader,
 	}
@@ -363,33 +366,3 @@
 		{Name: "connections", Every: sweepEvery, Task: n.ports.Links.Sweep},
 	}...)
 }
-
-// stop ends the callers' interface once what runs is finished.
-func (n *Node) stop(server *http.Server) {
-	n.stopping.Store(true)
-	server.SetKeepAlivesEnabled(false)
-	n.log.Info().Msg("node drains")
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Stop)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("requests were still running when the time to stop ended")
-	}
-}
-
-// leaveLimit bounds the handing over; a successor needs nothing of it to be
-// correct, only to be quick.
-const leaveLimit = 500 * time.Millisecond
-
-// stateWait is the time in which the last counts of a node reach the hubs.
-const stateWait = 700 * time.Millisecond
-
-// leave hands over what the node holds, once it serves no more.
-func (n *Node) leave() {
-	_ = n.clock.Sleep(context.Background(), stateWait)
-	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
-	defer cancel()
-	n.leaveDuties(ctx)
-	if err := n.members.registrar.Leave(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("the row of the node stays")
-	}
-}
