acceptor, composer: idle connections end without losing a request

The server of the standard library closes connections that it holds for idle when it stops; in both cases a request had been read in that moment, went on to a worker, and its answer had nowhere to go.

Ruled out: waiting longer before the stop alone; the callers may send at any moment on a connection that is kept.

--- /dev/null
+++ b/internal/base/acceptor/acceptor.go
@@ -0,0 +1,156 @@
+// Package acceptor ends the connections of an HTTP server without losing a
+// request.
+//
+// The server of the standard library closes connections that it holds for idle
+// when it is shut down. A request that it has read in that moment runs, and its
+// answer has nowhere to go. An Acceptor ends a connection from the reading side
+// instead: a connection on which a byte of a request has been read stays until
+// the answer is written, and one on which none has been is not read any more.
+package acceptor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Acceptor is a listener that knows its connections.
+type Acceptor struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	ending bool
+	// none is closed when the last connection is gone, once ending is set.
+	none chan struct{}
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	acceptor *Acceptor
+
+	mu sync.Mutex
+	// idle says that no byte of a request has been read since the last answer.
+	idle   bool
+	ending bool
+}
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// Accept returns the next connection.
+func (a *Acceptor) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	own := &conn{Conn: c, acceptor: a, idle: true}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conns == nil {
+		a.conns = make(map[*conn]bool)
+	}
+	a.conns[own] = true
+	own.ending = a.ending
+	return own, nil
+}
+
+// Note is the ConnState hook of the server.
+func (a *Acceptor) Note(c net.Conn, state http.ConnState) {
+	own, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		own.rest()
+	case http.StateClosed, http.StateHijacked:
+		a.forget(own)
+	}
+}
+
+func (a *Acceptor) forget(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.conns, c)
+	a.checkLocked()
+}
+
+// checkLocked wakes End after the last connection.
+func (a *Acceptor) checkLocked() {
+	if a.none != nil && len(a.conns) == 0 {
+		close(a.none)
+		a.none = nil
+	}
+}
+
+// End accepts no more connections, ends the idle ones, and waits until the
+// requests that run are answered, or until ctx is done, whose error it returns
+// then. It is called once.
+func (a *Acceptor) End(ctx context.Context) error {
+	_ = a.Close()
+	none := make(chan struct{})
+	a.mu.Lock()
+	a.ending, a.none = true, none
+	conns := make([]*conn, 0, len(a.conns))
+	for c := range a.conns {
+		conns = append(conns, c)
+	}
+	a.checkLocked()
+	a.mu.Unlock()
+	for _, c := range conns {
+		c.end()
+	}
+	select {
+	case <-none:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Read reads of a request.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.idle = false
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// SetReadDeadline bounds the next reads. A connection that is to end stays so
+// while it is idle.
+//
+// A request whose first bytes are read while the connection is ended sets the
+// deadline anew before it goes on.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.ending {
+		t = past
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// rest notes that an answer has been written.
+func (c *conn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// end ends the connection once it is idle.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if c.idle {
+		// A connection that is closed already needs no deadline.
+		_ = c.Conn.SetReadDeadline(past)
+	}
+}
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/linker"
@@ -121,7 +122,7 @@
 	// turn counts the nodes that have failed as sources of tables.
 	turn atomic.Uint64
 
-	callers net.Listener
+	callers *acceptor.Acceptor
 	ready   net.Listener
 	metrics net.Listener
 }
@@ -173,9 +174,11 @@
 	}
 	n.buildDuties()
 	n.members.collector.Usage = n.duties.ledger
-	if n.callers, err = listen(s.CallersListen); err != nil {
+	callers, err := listen(s.CallersListen)
+	if err != nil {
 		return nil, err
 	}
+	n.callers = &acceptor.Acceptor{Listener: callers}
 	if n.ready, err = listen(s.ReadyListen); err != nil {
 		return nil, err
 	}
@@ -326,6 +329,7 @@
 		Handler:           n.closing(n.ports.Callers(n.Config, n.handler.Do)),
 		ReadHeaderTimeout: headerWait,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         n.callers.Note,
 	}
 	ready := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerWait}
 	wg.Go(func() { n.serve(callers, n.callers) })
@@ -354,7 +358,7 @@
 )
 
 func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
 		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
 	}
 }
--- a/internal/node/composer/stop.go
+++ b/internal/node/composer/stop.go
@@ -35,10 +35,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Stop-stateWait-leaveLimit)
 	defer cancel()
 	_ = n.clock.Sleep(ctx, n.settings.LeaveWait)
-	server.SetKeepAlivesEnabled(false)
-	if err := server.Shutdown(ctx); err != nil {
+	if err := n.callers.End(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("requests were still running when the time to stop ended")
 	}
+	_ = server.Close()
 }
 
 // leave hands over what the node holds, once it serves no more.
