follower: one follower of a node tries a store that is away

Ruled out: a delay of up to 1 s; a node that is served by another one then came back 2.2 s after the store.

--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -165,6 +165,8 @@
 	state keeper.Cell[Snapshot]
 	// read is when the whole table was last read.
 	read time.Time
+	// failures counts the calls in a row that got no answer.
+	failures int
 	// pause says that the last watch has told of a change.
 	pause bool
 	// probe is when a store that does not answer is tried again.
@@ -251,6 +253,7 @@
 func (f *Follower) take(change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
 	back := f.state.Get().Away()
+	f.failures = 0
 	f.Pulse.answered(now)
 	f.store(func(s Snapshot) Snapshot {
 		away := s.Away()
@@ -297,5 +300,32 @@
 	// A plain read fails sooner than a watch.
 	f.read = time.Time{}
 	f.probe = f.Clock.Now().Add(probeEvery)
-	_ = f.Clock.Sleep(ctx, f.Retry)
+	f.awaitStore(ctx)
 }
+
+const (
+	// maxRetry bounds the delay between two tries of a store that does not answer;
+	// all nodes try it, so a short one costs hundreds of calls a second.
+	maxRetry = 500 * time.Millisecond
+	// restRetry is the delay of the followers of a node that leave the trying to
+	// another one.
+	restRetry = 2 * time.Second
+)
+
+// awaitStore waits until the store is to be tried again.
+func (f *Follower) awaitStore(ctx context.Context) {
+	wait := min(f.Retry<<f.failures, maxRetry)
+	f.failures = min(f.failures+1, maxDoublings)
+	prober, back := f.Pulse.probing(f)
+	if !prober {
+		wait = restRetry
+	}
+	select {
+	case <-f.Clock.After(wait):
+	case <-back:
+	case <-ctx.Done():
+	}
+}
+
+// maxDoublings keeps a delay from overflowing.
+const maxDoublings = 8
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -53,6 +53,9 @@
 	follower *follower.Follower
 	pulse    *follower.Pulse
 
+	// alone says that the node takes no table from another one.
+	alone bool
+
 	mu      sync.Mutex
 	source  string
 	refused bool
@@ -71,7 +74,13 @@
 		if d.HasArg("short") {
 			wait = 800 * time.Millisecond
 		}
-		w.start(d.CmdArgs[0].Key, wait, d.HasArg("gap"))
+		pulse, beside := &follower.Pulse{}, d.HasArg("alone") || d.HasArg("beside")
+		if d.HasArg("beside") {
+			var other string
+			d.ScanArgs(t, "beside", &other)
+			pulse = w.nodes[other].pulse
+		}
+		w.start(d.CmdArgs[0].Key, wait, d.HasArg("gap"), beside, pulse)
 	case "put", "delete":
 		w.store.write(d.CmdArgs[0].Key, d.Cmd == "delete")
 	case "store":
@@ -139,8 +148,8 @@
 	return out.String()
 }
 
-func (w *world) start(name string, wait time.Duration, gap bool) {
-	n := &node{world: w, name: name, pulse: &follower.Pulse{}}
+func (w *world) start(name string, wait time.Duration, gap, beside bool, pulse *follower.Pulse) {
+	n := &node{world: w, name: name, pulse: pulse, alone: beside}
 	n.follower = &follower.Follower{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Pulse: n.pulse, Relay: n,
 		Wait: wait, Refresh: 30 * time.Second, Retry: 250 * time.Millisecond,
@@ -157,7 +166,7 @@
 func (n *node) Source(away bool) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.source != "" || !away {
+	if n.source != "" || !away || n.alone {
 		return n.source
 	}
 	for name := range n.world.nodes {
--- a/internal/store/follower/pulse.go
+++ b/internal/store/follower/pulse.go
@@ -20,6 +20,10 @@
 	brokenAt time.Time
 	// calls are the calls in progress.
 	calls map[*call]struct{}
+	// prober tries a store that does not answer; the other followers wait until
+	// back is closed.
+	prober *Follower
+	back   chan struct{}
 }
 
 type call struct{ cancel context.CancelCauseFunc }
@@ -62,6 +66,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.at = at
+	p.prober = nil
+	if p.back != nil {
+		close(p.back)
+		p.back = nil
+	}
+}
+
+// probing reports whether a follower is the one that tries a store which does
+// not answer, and returns a channel that is closed once it does.
+func (p *Pulse) probing(f *Follower) (bool, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.prober == nil {
+		p.prober = f
+	}
+	if p.back == nil {
+		p.back = make(chan struct{})
+	}
+	return p.prober == f, p.back
 }
 
 // failed notes a call without an answer and ends the others.
