closer: counts of many nodes take several rows; director: orders wait for starts

The counts of open windows of 77 nodes and 81 client accounts were written into one row; the store refused it for its size (603, status 400 in the lines "periodic task failed"), and as that came before the closing of windows no window was reported for 30 s. testdata/crowd failed first.

Counts now name each client account once, are divided over rows of the size that the settings name, and a save that fails holds up no report.

Also: an order for endpoints was sent again after 1.5 s, before the endpoints could have started.

--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -104,7 +104,8 @@
 	// refusedFor is how long a data centre without cheap endpoints is left alone.
 	refusedFor = 3 * time.Second
 	// repeatAfter is when an order for endpoints is sent again that the list does
-	// not show: it may have been lost, or there may have been too many to add all.
+	// not show, beside the time that an endpoint takes to start: it may have been
+	// lost, or there may have been too many to add all.
 	repeatAfter = 1500 * time.Millisecond
 	// noticeWait is how long an engine gets no new work before its role is
 	// ordered, so that all nodes have heard of it.
@@ -283,7 +284,7 @@
 		}
 		last, ok := t.ordered[p]
 		shown := s.live(c.DataCentre, c.Tier) == c.Want
-		if ok && last.want == c.Want && (shown || s.Now.Sub(last.at) < repeatAfter) {
+		if ok && last.want == c.Want && (shown || s.Now.Sub(last.at) < repeatAfter+s.Deployment.Boot) {
 			continue
 		}
 		err := r.Supplier.Want(ctx, g, s.Deployment.Name, c)
--- a/internal/fleet/director/director_test.go
+++ b/internal/fleet/director/director_test.go
@@ -136,12 +136,13 @@
 }
 
 func (w *world) deploy(t *testing.T, d *datadriven.TestData) {
-	var most, cheap int
+	var most, cheap, boot int
 	d.ScanArgs(t, "max", &most)
 	d.ScanArgs(t, "cheap", &cheap)
+	d.MaybeScanArgs(t, "boot-ms", &boot)
 	w.deployment = definer.Deployment{
 		Name: "llm", Kind: definer.Model, Slots: 4, RoleChange: 3 * time.Second, Fencing: definer.FencingChecked,
-		Engine: definer.Engine{HandleLife: 3 * time.Second},
+		Engine: definer.Engine{HandleLife: 3 * time.Second}, Boot: time.Duration(boot) * time.Millisecond,
 	}
 	if d.HasArg("unfenced") {
 		w.deployment.Fencing = definer.FencingIgnored
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -64,6 +64,8 @@
 	// its end it can be reported.
 	UsageWindow time.Duration
 	UsageLate   time.Duration
+	// RowBytes is the greatest size of a row of the store.
+	RowBytes int
 }
 
 // Handler answers requests.
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -87,6 +87,7 @@
 			Settle:    settle,
 			Late:      n.settings.UsageLate - lateMargin,
 			SaveEvery: saveEvery,
+			RowBytes:  n.settings.RowBytes,
 		},
 		Clock:   n.clock,
 		Log:     n.log,
--- a/internal/usage/closer/closer.go
+++ b/internal/usage/closer/closer.go
@@ -18,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
-	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
@@ -54,6 +53,8 @@
 	Late time.Duration
 	// SaveEvery is how often the counts of open windows are written down.
 	SaveEvery time.Duration
+	// RowBytes is the greatest size of a row of the table; 0 means 64 KiB.
+	RowBytes int
 }
 
 // Closer closes and reports windows.
@@ -80,6 +81,8 @@
 	closed   map[int64]map[string]int
 	reported map[int64]bool
 	saved    time.Time
+	// pieces is the number of rows that the counts of open windows take up.
+	pieces int
 }
 
 // WindowAt returns the window of a time.
@@ -102,9 +105,8 @@
 			return err
 		}
 	}
-	if err := c.save(ctx, g); err != nil {
-		return err
-	}
+	// Windows are closed and reported also while the open ones cannot be saved.
+	unsaved := c.save(ctx, g)
 	for _, window := range c.windows() {
 		end := c.Settings.end(window)
 		if now.Before(end.Add(c.Settings.Settle)) || c.held.reported[window] {
@@ -119,7 +121,7 @@
 			return err
 		}
 	}
-	return nil
+	return unsaved
 }
 
 // windows returns the windows that have counts or figures, in order.
@@ -143,20 +145,23 @@
 		}
 		t.closed[window] = counts
 	}
-	row, err := c.Table.Get(ctx, openKey)
-	if err != nil && !coder.Is(err, coder.RowUnknown) {
+	rows, err = transactor.ScanAll(ctx, c.Table, openPrefix)
+	if err != nil {
 		return err
 	}
-	if err == nil {
+	for _, row := range rows {
 		saved, err := decodeOpen(row.Value)
 		if err != nil {
-			return err
+			// Its counts are lost; the windows of the others are not.
+			c.Log.Error().Str("key", row.Key).Err(err).Msg("saved counts cannot be read")
+			continue
 		}
 		c.Ledger.Merge(saved.counts, false)
 		for _, window := range saved.reported {
 			t.reported[window] = true
 		}
 	}
+	t.pieces = len(rows)
 	c.held = t
 	c.Log.Info().Uint64("fencing-token", g.Token).Int("closed", len(t.closed)).Msg("usage is reported by this node")
 	return nil
@@ -180,10 +185,16 @@
 	for window := range c.held.reported {
 		s.reported = append(s.reported, window)
 	}
-	tx := transactor.Tx{}.WithPut(openKey, encodeOpen(s))
+	tx, pieces := transactor.Tx{}, s.pieces(c.Settings.RowBytes)
+	for i, piece := range pieces {
+		tx = tx.WithPut(openKey(i), encodeOpen(piece))
+	}
+	for i := len(pieces); i < c.held.pieces; i++ {
+		tx = tx.WithDelete(openKey(i))
+	}
 	_, err := c.Table.Commit(ctx, g.Guard(tx))
 	if err == nil {
-		c.held.saved = now
+		c.held.saved, c.held.pieces = now, len(pieces)
 	}
 	return err
 }
--- a/internal/usage/closer/closer_test.go
+++ b/internal/usage/closer/closer_test.go
@@ -75,6 +75,9 @@
 		parts = append(parts, fmt.Sprintf("%s=%d", account, counts[account]))
 	}
 	text := strings.Join(parts, " ")
+	if len(parts) > 5 {
+		text = fmt.Sprintf("%d accounts, of the first %s", len(parts), parts[0])
+	}
 	if first, ok := w.received[window]; ok && first != text {
 		text += " DIFFERS from " + first
 	} else {
@@ -87,13 +90,28 @@
 	return nil
 }
 
+// limited is a table that refuses large rows, as a platform's store does.
+type limited struct{ transactor.Table }
+
+// Commit runs a transaction.
+func (l limited) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+	for _, write := range tx.Writes() {
+		if len(write.Value) > rowBytes {
+			return 0, coder.Refuse(coder.PlatformRefused, "a row has %d bytes", len(write.Value))
+		}
+	}
+	return l.Table.Commit(ctx, tx)
+}
+
+const rowBytes = 64 << 10
+
 func (w *world) node(name string) *node {
 	n, ok := w.nodes[name]
 	if !ok {
 		n = &node{world: w, name: name, ledger: &ledger.Ledger{Self: name}}
 		n.closer = &closer.Closer{
 			Settings: closer.Settings{Window: 5 * time.Second, Settle: time.Second, Late: 10 * time.Second, SaveEvery: time.Second},
-			Clock:    w.clock, Table: w.memory, Leases: n, Reports: n, Ledger: n.ledger, Now: w.clock.Now,
+			Clock:    w.clock, Table: limited{w.memory}, Leases: n, Reports: n, Ledger: n.ledger, Now: w.clock.Now,
 		}
 		w.nodes[name] = n
 	}
@@ -112,6 +130,20 @@
 			l.Count(w.clock.Now().Unix()/5, d.CmdArgs[1].Key)
 		}
 		return ""
+	case "crowd":
+		// Many nodes have counted for many client accounts in the present window.
+		var nodes, accounts int
+		d.ScanArgs(t, "nodes", &nodes)
+		d.ScanArgs(t, "accounts", &accounts)
+		for i := range nodes {
+			l := &ledger.Ledger{Self: fmt.Sprintf("front-%d.dlty2srfdqfv", i)}
+			for j := range accounts {
+				l.Count(w.clock.Now().Unix()/5, fmt.Sprintf("account-%d", j))
+			}
+			counts, _ := l.Since(0, true)
+			w.node(d.CmdArgs[0].Key).ledger.Merge(counts, true)
+		}
+		return ""
 	case "spread":
 		for _, from := range w.nodes {
 			counts, _ := from.ledger.Since(0, true)
--- a/internal/usage/closer/rows.go
+++ b/internal/usage/closer/rows.go
@@ -11,13 +11,15 @@
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
-// windowPrefix begins the rows of closed windows; openKey is the row of the
-// counts of open ones.
+// windowPrefix begins the rows of closed windows, openPrefix those of the counts
+// of open ones.
 const (
 	windowPrefix = "usage-window/"
-	openKey      = "usage-open/counts"
+	openPrefix   = "usage-open/"
 )
 
+func openKey(piece int) string { return openPrefix + strconv.Itoa(piece) }
+
 func windowKey(window int64) string { return windowPrefix + strconv.FormatInt(window, 10) }
 
 func encodeWindow(counts map[string]int) []byte {
@@ -55,7 +57,57 @@
 	reported []int64
 }
 
+const (
+	// defaultRowBytes is the size of a row that the platforms known so far take.
+	defaultRowBytes = 64 << 10
+	// countBytes is the most that a count takes up beside the name of its client
+	// account, nodeBytes that of a node beside its counts and name.
+	countBytes = 20
+	nodeBytes  = 64
+)
+
+// pieces divides the counts into parts that each fit into a row. The first has
+// the windows that were reported.
+func (o open) pieces(rowBytes int) []open {
+	if rowBytes <= 0 {
+		rowBytes = defaultRowBytes
+	}
+	parts := []open{{reported: o.reported}}
+	size := countBytes * len(o.reported)
+	names := make(map[string]bool)
+	for _, u := range o.counts {
+		more := nodeBytes + len(u.Node) + countBytes*len(u.Counts)
+		for _, c := range u.Counts {
+			if !names[c.Account] {
+				more += len(c.Account)
+			}
+		}
+		if size+more > rowBytes && len(parts[len(parts)-1].counts) > 0 {
+			parts, size = append(parts, open{}), 0
+			clear(names)
+		}
+		last := &parts[len(parts)-1]
+		last.counts = append(last.counts, u)
+		for _, c := range u.Counts {
+			names[c.Account] = true
+		}
+		size += more
+	}
+	return parts
+}
+
+// encodeOpen names each client account once and refers to it by its place.
 func encodeOpen(o open) []byte {
+	places := make(map[string]int)
+	var accounts []string
+	for _, u := range o.counts {
+		for _, c := range u.Counts {
+			if _, ok := places[c.Account]; !ok {
+				places[c.Account] = len(accounts)
+				accounts = append(accounts, c.Account)
+			}
+		}
+	}
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("reported", func(e *jx.Encoder) {
@@ -65,10 +117,17 @@
 				}
 			})
 		})
+		e.Field("client-accounts", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for _, a := range accounts {
+					e.Str(a)
+				}
+			})
+		})
 		e.Field("counts", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
 				for _, u := range o.counts {
-					encodeUsage(e, u)
+					encodeUsage(e, u, places)
 				}
 			})
 		})
@@ -76,14 +135,16 @@
 	return e.Bytes()
 }
 
-func encodeUsage(e *jx.Encoder, u courier.NodeUsage) {
+// encodeUsage writes the counts of a node as pairs of a place and a number.
+func encodeUsage(e *jx.Encoder, u courier.NodeUsage, places map[string]int) {
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("node", func(e *jx.Encoder) { e.Str(u.Node) })
 		e.Field("window", func(e *jx.Encoder) { e.Int64(u.Window) })
 		e.Field("requests", func(e *jx.Encoder) {
-			e.Obj(func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
 				for _, c := range u.Counts {
-					e.Field(c.Account, func(e *jx.Encoder) { e.Int(c.Requests) })
+					e.Int(places[c.Account])
+					e.Int(c.Requests)
 				}
 			})
 		})
@@ -91,6 +152,7 @@
 }
 
 func decodeOpen(data []byte) (o open, err error) {
+	var accounts []string
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) error {
 		switch name {
 		case "reported":
@@ -99,9 +161,15 @@
 				o.reported = append(o.reported, w)
 				return err
 			})
+		case "client-accounts":
+			return d.Arr(func(d *jx.Decoder) error {
+				a, err := d.Str()
+				accounts = append(accounts, a)
+				return err
+			})
 		case "counts":
 			return d.Arr(func(d *jx.Decoder) error {
-				u, err := decodeUsage(d)
+				u, err := decodeUsage(d, accounts)
 				o.counts = append(o.counts, u)
 				return err
 			})
@@ -111,7 +179,7 @@
 	return o, malformed(err)
 }
 
-func decodeUsage(d *jx.Decoder) (u courier.NodeUsage, err error) {
+func decodeUsage(d *jx.Decoder, accounts []string) (u courier.NodeUsage, err error) {
 	err = d.Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "node":
@@ -119,11 +187,7 @@
 		case "window":
 			u.Window, err = d.Int64()
 		case "requests":
-			var counts map[string]int
-			counts, err = decodeCounts(d)
-			for account, n := range counts {
-				u.Counts = append(u.Counts, courier.AccountCount{Account: account, Requests: n})
-			}
+			u.Counts, err = decodePairs(d, accounts)
 		default:
 			err = d.Skip()
 		}
@@ -132,6 +196,26 @@
 	return u, err
 }
 
+func decodePairs(d *jx.Decoder, accounts []string) (counts []courier.AccountCount, err error) {
+	place := -1
+	err = d.Arr(func(d *jx.Decoder) error {
+		n, err := d.Int()
+		switch {
+		case err != nil:
+			return err
+		case place >= 0:
+			counts = append(counts, courier.AccountCount{Account: accounts[place], Requests: n})
+			place = -1
+		case n < 0 || n >= len(accounts):
+			return coder.New(coder.Internal, "there is no client account %d", n)
+		default:
+			place = n
+		}
+		return nil
+	})
+	return counts, err
+}
+
 func malformed(err error) error {
 	if err == nil {
 		return nil
