--- a/internal/node/composer/stop.go
+++ b/internal/node/composer/stop.go
@@ -20,9 +20,11 @@
 	n.stopping.Store(true)
 	n.callers.Leave()
 	n.log.Info().Msg("node drains")
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Stop-stateWait-leaveLimit)
+	left := max(n.settings.Stop-stateWait-leaveLimit, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	_ = n.clock.Sleep(ctx, n.settings.LeaveWait)
+	// Where there is little time, half of it is for the requests that run.
+	_ = n.clock.Sleep(ctx, min(n.settings.LeaveWait, left/2))
 	if err := n.callers.End(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("requests were still running when the time to stop ended")
 	}
