follower: a refused node takes all its tables from others at once

Its log showed two things. The test named no seeds, so a node that the store refuses before it has read the rows of the others knew nobody to ask; the platform always names some, and the test does now. With seeds it failed each time: since one follower of a node tries the store for all, the others waited 2 s before they asked another node, and work went to a worker that had left. testdata/beside fails without the change.

--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -308,7 +308,7 @@
 	// all nodes try it, so a short one costs hundreds of calls a second.
 	maxRetry = 500 * time.Millisecond
 	// restRetry is the delay of the followers of a node that leave the trying to
-	// another one.
+	// another one and have no node to take the table from.
 	restRetry = 2 * time.Second
 )
 
@@ -317,7 +317,7 @@
 	wait := min(f.Retry<<f.failures, maxRetry)
 	f.failures = min(f.failures+1, maxDoublings)
 	prober, back := f.Pulse.probing(f)
-	if !prober {
+	if !prober && f.source() == "" {
 		wait = restRetry
 	}
 	select {
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -74,13 +74,13 @@
 		if d.HasArg("short") {
 			wait = 800 * time.Millisecond
 		}
-		pulse, beside := &follower.Pulse{}, d.HasArg("alone") || d.HasArg("beside")
+		pulse, alone := &follower.Pulse{}, d.HasArg("alone")
 		if d.HasArg("beside") {
 			var other string
 			d.ScanArgs(t, "beside", &other)
 			pulse = w.nodes[other].pulse
 		}
-		w.start(d.CmdArgs[0].Key, wait, d.HasArg("gap"), beside, pulse)
+		w.start(d.CmdArgs[0].Key, wait, d.HasArg("gap"), alone, pulse)
 	case "put", "delete":
 		w.store.write(d.CmdArgs[0].Key, d.Cmd == "delete")
 	case "store":
@@ -148,8 +148,8 @@
 	return out.String()
 }
 
-func (w *world) start(name string, wait time.Duration, gap, beside bool, pulse *follower.Pulse) {
-	n := &node{world: w, name: name, pulse: pulse, alone: beside}
+func (w *world) start(name string, wait time.Duration, gap, alone bool, pulse *follower.Pulse) {
+	n := &node{world: w, name: name, pulse: pulse, alone: alone}
 	n.follower = &follower.Follower{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Pulse: n.pulse, Relay: n,
 		Wait: wait, Refresh: 30 * time.Second, Retry: 250 * time.Millisecond,
