forwarder: the connection to an endpoint is free before the caller has its answer

The connection was given back after the caller had the whole answer, so a quick caller's next request had to dial. TestConnectionFree fails without the change, in both modes.

Ruled out: another result for a lost answer; the service was the same, only the connection was new.

--- /dev/null
+++ b/internal/request/forwarder/forwarder_test.go
@@ -0,0 +1,79 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailflow.example/foxtailflow/internal/base/linker"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/engine/translator"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+)
+
+// dialect passes answers on in one mode.
+type dialect struct {
+	translator.Translator
+	mode forwarder.Mode
+}
+
+// Mode returns the mode.
+func (d dialect) Mode(forwarder.Attempt, carrier.Head) forwarder.Mode { return d.mode }
+
+// Belongs takes every answer.
+func (dialect) Belongs(carrier.Request, carrier.Head) bool { return true }
+
+// Check takes every answer.
+func (dialect) Check(forwarder.Attempt, carrier.Head) error { return nil }
+
+// Answer takes every answer.
+func (dialect) Answer(forwarder.Attempt, carrier.Head, []byte) (carrier.Usage, error) {
+	return carrier.Usage{}, nil
+}
+
+// reply notes how many connections are free when the answer is written.
+type reply struct {
+	linker  *linker.Linker
+	address string
+	idle    int
+}
+
+// Begin does nothing.
+func (*reply) Begin(context.Context, carrier.Head) error { return nil }
+
+// Write notes the connections.
+func (r *reply) Write(context.Context, []byte) error {
+	r.idle = r.linker.Stats(r.address).Idle
+	return nil
+}
+
+// TestConnectionFree guards against an answer that keeps the connection to its
+// endpoint until the caller has taken it: the caller's next request then has to
+// dial, or finds no connection left where their number is bounded.
+func TestConnectionFree(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "answer")
+	}))
+	defer server.Close()
+	for name, mode := range map[string]forwarder.Mode{"whole": forwarder.Whole, "pieces": forwarder.Pieces} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &linker.Linker{Clock: timekeeper.System{}, Dial: linker.Dialer{Timeout: time.Second}.Dial, KeepFor: time.Minute}
+			r := &reply{linker: l, address: server.Listener.Addr().String()}
+			f := forwarder.Forwarder{Clock: timekeeper.System{}, Linker: l, Dialect: dialect{mode: mode}}
+			rep := f.Forward(t.Context(), forwarder.Attempt{Address: r.address, Request: carrier.Request{
+				ID: "r1", Method: http.MethodGet, Target: "/", Route: definer.Route{Kind: definer.Plain},
+				Deadline: time.Now().Add(5 * time.Second),
+			}}, r)
+			is.NoErr(rep.Attempt.Err())
+			is.Equal(r.idle, 1)
+		})
+	}
+}
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -100,6 +100,8 @@
 	if len(data) > maxWhole {
 		return nil, coder.New(coder.EndpointFailed, "the answer is larger than %d bytes", maxWhole)
 	}
+	// A caller that is slow to take the answer does not hold the connection.
+	x.close()
 	return data, nil
 }
 
@@ -143,6 +145,11 @@
 	for {
 		n, err := x.answer.Body.Read(buf)
 		x.watch.progress()
+		if errors.Is(err, io.EOF) {
+			// The connection is free before the caller has the end of the answer, so
+			// that its next request finds it.
+			x.close()
+		}
 		if n > 0 {
 			if err := x.write(ctx, reply, buf[:n]); err != nil {
 				return err
