inner: one holder of gRPC connections for both protocols

courier and messenger each had the server's options, the connection to an address and its forgetting; inner/dialer has them once. The peers' source address goes through linker.Dialer, which had it already. The comment of courier's Join said that a hub gets no answer; it does since hubs leave silent ones.

--- a/internal/inner/courier/link.go
+++ b/internal/inner/courier/link.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"net"
-	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 )
 
 // Handler answers other nodes.
@@ -23,22 +19,9 @@
 	Follow(ctx context.Context, prefix string, changed uint64, send func(Content) error) error
 }
 
-const (
-	// window turns off the library's measuring of the bandwidth, which sends a
-	// ping with almost every small message.
-	window = 1 << 20
-	// buffer is small, as messages are small and connections many.
-	buffer = 4 << 10
-)
-
 // NewServer returns a gRPC server that answers nodes through h.
 func NewServer(h Handler) *grpc.Server {
-	s := grpc.NewServer(
-		grpc.InitialWindowSize(window),
-		grpc.InitialConnWindowSize(window),
-		grpc.ReadBufferSize(buffer),
-		grpc.WriteBufferSize(buffer),
-	)
+	s := dialer.Server()
 	RegisterNodeServer(s, server{h: h})
 	return s
 }
@@ -48,8 +31,8 @@
 	h Handler
 }
 
-// Join answers each statement with a summary; a hub gets none, as it learns the
-// same from the hubs that join it.
+// Join answers each statement with a summary; that for a hub has nothing in it
+// but the answer, as it learns the same from the hubs that join it.
 func (s server) Join(stream grpc.BidiStreamingServer[StatementMessage, SummaryMessage]) error {
 	var last Statement
 	defer func() {
@@ -76,51 +59,17 @@
 	})
 }
 
-// Dial opens a connection to an address.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
 // Links holds a connection to each node.
 type Links struct {
-	Dial Dial
-
-	connections keeper.Table[string, *grpc.ClientConn]
+	dialer.Connections
 }
 
-// reconnect is short, as a node that is not reached is left for another one.
-var reconnect = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
-
 func (l *Links) client(address string) (NodeClient, error) {
-	var failure error
-	var found *grpc.ClientConn
-	l.connections.Update(address, func(c *grpc.ClientConn, ok bool) (*grpc.ClientConn, bool) {
-		if ok {
-			found = c
-			return c, true
-		}
-		// NewClient does not connect yet, so it is quick enough to run here.
-		c, failure = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
-			grpc.WithInitialWindowSize(window),
-			grpc.WithInitialConnWindowSize(window),
-			grpc.WithReadBufferSize(buffer),
-			grpc.WithWriteBufferSize(buffer),
-			grpc.WithContextDialer(l.Dial))
-		found = c
-		return c, failure == nil
-	})
-	if failure != nil {
-		return nil, coder.Wrap(coder.NodeNotReached, failure, "malformed node address %q", address)
-	}
-	return NewNodeClient(found), nil
-}
-
-// Forget closes the connection to a node, so that the next use dials anew.
-func (l *Links) Forget(address string) {
-	if c, ok := l.connections.Get(address); ok {
-		l.connections.Delete(address)
-		_ = c.Close()
+	c, err := l.To(address)
+	if err != nil {
+		return nil, err
 	}
+	return NewNodeClient(c), nil
 }
 
 // Stream is this node's stream to a hub.
--- a/internal/inner/messenger/peer.go
+++ b/internal/inner/messenger/peer.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 )
 
 // Handler answers the messages of peers.
@@ -27,25 +24,9 @@
 	KeepUsage(ctx context.Context, u UsageCopy) error
 }
 
-const (
-	// A window that is set turns off the library's measuring of the bandwidth,
-	// which sends a ping with almost every small message.
-	window = 1 << 20
-	// Messages are small and connections many, so the buffers are small.
-	buffer = 4 << 10
-	// idleAfter closes a connection that is not used; a push to all nodes opens
-	// many that are then not needed for long.
-	idleAfter = time.Minute
-)
-
 // NewServer returns a gRPC server that answers peers through h.
 func NewServer(h Handler) *grpc.Server {
-	s := grpc.NewServer(
-		grpc.InitialWindowSize(window),
-		grpc.InitialConnWindowSize(window),
-		grpc.ReadBufferSize(buffer),
-		grpc.WriteBufferSize(buffer),
-	)
+	s := dialer.Server()
 	RegisterPeerServer(s, server{h: h})
 	return s
 }
@@ -86,65 +67,15 @@
 
 // Peers holds a connection to each peer.
 type Peers struct {
-	// SourceAddress is the local IP of the connections; empty means any.
-	SourceAddress string
+	dialer.Connections
 	// Timeout bounds one message.
 	Timeout time.Duration
-
-	connections keeper.Table[string, *grpc.ClientConn]
-}
-
-// reconnect keeps the delay short, since a peer that is back must be heard
-// before the evidence of the freshness runs out.
-var reconnect = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
-
-func (p *Peers) client(address string) (PeerClient, error) {
-	var failure error
-	var found *grpc.ClientConn
-	p.connections.Update(address, func(c *grpc.ClientConn, ok bool) (*grpc.ClientConn, bool) {
-		if ok {
-			found = c
-			return c, true
-		}
-		// NewClient does not connect yet, so it is quick enough to run here.
-		c, failure = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
-			grpc.WithInitialWindowSize(window),
-			grpc.WithInitialConnWindowSize(window),
-			grpc.WithReadBufferSize(buffer),
-			grpc.WithWriteBufferSize(buffer),
-			grpc.WithIdleTimeout(idleAfter),
-			grpc.WithContextDialer(p.dial))
-		found = c
-		return c, failure == nil
-	})
-	if failure != nil {
-		return nil, coder.Wrap(coder.NodeNotReached, failure, "malformed peer address %q", address)
-	}
-	return NewPeerClient(found), nil
-}
-
-func (p *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{}
-	if p.SourceAddress != "" {
-		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.SourceAddress)}
-	}
-	return d.DialContext(ctx, "tcp", address)
-}
-
-// Forget closes the connection to a peer that is gone.
-func (p *Peers) Forget(address string) {
-	if c, ok := p.connections.Get(address); ok {
-		p.connections.Delete(address)
-		_ = c.Close()
-	}
 }
 
 // call runs one message to the peer at address within the timeout.
 func call[T any](ctx context.Context, p *Peers, address string, send func(context.Context, PeerClient) (T, error)) (T, error) {
 	var none T
-	c, err := p.client(address)
+	c, err := p.To(address)
 	if err != nil {
 		return none, err
 	}
@@ -153,7 +84,7 @@
 		ctx, cancel = context.WithTimeout(ctx, p.Timeout)
 		defer cancel()
 	}
-	answer, err := send(ctx, c)
+	answer, err := send(ctx, NewPeerClient(c))
 	if err != nil {
 		return none, coder.Wrap(coder.NodeNotReached, err, "peer %s did not answer", address)
 	}
@@ -195,18 +126,6 @@
 	return *decodeRoster(m.GetRoster()), nil
 }
 
-// Close closes all connections.
-func (p *Peers) Close() {
-	var open []*grpc.ClientConn
-	p.connections.Each(func(_ string, c *grpc.ClientConn) bool {
-		open = append(open, c)
-		return true
-	})
-	for _, c := range open {
-		_ = c.Close()
-	}
-}
-
 // KeepUsage leaves a copy of usage with the peer at address.
 func (p *Peers) KeepUsage(ctx context.Context, address string, u UsageCopy) error {
 	_, err := call(ctx, p, address, func(ctx context.Context, c PeerClient) (*KeepUsageReply, error) {
--- a/internal/node/assembler/membership.go
+++ b/internal/node/assembler/membership.go
@@ -10,7 +10,9 @@
 	"google.golang.org/grpc"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/linker"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/member/gossiper"
 	"foxtailflow.example/foxtailflow/internal/operator/commander"
@@ -60,7 +62,10 @@
 		DataCentre:   s.DataCentre,
 		Incarnation:  uint64(started.UnixMilli()),
 	}
-	m.peers = &messenger.Peers{SourceAddress: s.SourceAddress, Timeout: peerWait}
+	m.peers = &messenger.Peers{
+		Connections: dialer.Connections{Dial: linker.Dialer{Source: net.ParseIP(s.SourceAddress)}.Dial},
+		Timeout:     peerWait,
+	}
 	m.gossiper = &gossiper.Gossiper{
 		Clock:     n.clock,
 		Log:       n.log,
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -15,6 +15,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 	"foxtailflow.example/foxtailflow/internal/member/collector"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
@@ -46,7 +47,7 @@
 	}
 	m := &n.members
 	m.listener = l
-	m.links = &courier.Links{Dial: courier.Dial(n.ports.Dial)}
+	m.links = &courier.Links{Connections: dialer.Connections{Dial: n.ports.Dial}}
 	m.registrar = &registrar.Registrar{
 		Log: n.log, Table: n.ports.Table, Self: self,
 		Offset: func() (time.Duration, bool) { return n.duties.dater.Own() },
