--- a/internal/base/acceptor/acceptor.go
+++ b/internal/base/acceptor/acceptor.go
@@ -10,13 +10,35 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 )
 
+// Listen returns a listener at an address; SettingsBad if that cannot be had.
+func Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, coder.Refuse(coder.SettingsBad, "cannot listen at %s", address).WithCause(err)
+	}
+	return l, nil
+}
+
+// Serve serves until the server or the listener is closed, and logs any other
+// end.
+func Serve(log zerolog.Logger, s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
+	}
+}
+
 // Acceptor is a listener that knows its connections.
 type Acceptor struct {
 	net.Listener
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -78,26 +77,18 @@
 		}
 	}
 	n.link()
-	callers, err := listen(s.CallersListen)
+	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
 		return nil, err
 	}
 	n.callers = &acceptor.Acceptor{Listener: callers}
-	if n.operators, err = listen(s.OperatorsListen); err != nil {
+	if n.operators, err = acceptor.Listen(s.OperatorsListen); err != nil {
 		return nil, err
 	}
 	n.membership.gossiper.Self.OperatorsAddress = n.OperatorsAddress()
 	return n, nil
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, coder.Refuse(coder.SettingsBad, "cannot listen at %s", address).WithCause(err)
-	}
-	return l, nil
-}
-
 // OperatorsAddress returns the address at which operators are served.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
@@ -134,8 +125,8 @@
 		}.Run(tasks)
 	})
 	callers, operators := n.callersServer(), n.operatorsServer()
-	wg.Go(func() { n.serve(callers, n.callers) })
-	wg.Go(func() { n.serve(operators, n.operators) })
+	wg.Go(func() { acceptor.Serve(n.log, callers, n.callers) })
+	wg.Go(func() { acceptor.Serve(n.log, operators, n.operators) })
 	wg.Go(n.servePeers)
 	n.log.Info().Str("callers", n.CallersAddress()).Str("data-centre", n.settings.DataCentre).Msg("node started")
 	<-ctx.Done()
@@ -148,12 +139,6 @@
 	return nil
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
-		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
-	}
-}
-
 func (n *Node) operatorsServer() *http.Server {
 	return &http.Server{Handler: n.commander().Routes(), ReadHeaderTimeout: n.settings.HeaderWait}
 }
--- a/internal/node/assembler/membership.go
+++ b/internal/node/assembler/membership.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 
+	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/linker"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
@@ -49,7 +50,7 @@
 func (n *Node) buildMembership() error {
 	s, m := n.settings, &n.membership
 	var err error
-	if m.listener, err = listen(s.PeersListen); err != nil {
+	if m.listener, err = acceptor.Listen(s.PeersListen); err != nil {
 		return err
 	}
 	if s.PeersAdvertise == "" || s.PeersAdvertise == s.PeersListen {
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -176,15 +175,15 @@
 	}
 	n.buildDuties()
 	n.members.collector.Usage = n.duties.ledger
-	callers, err := listen(s.CallersListen)
+	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
 		return nil, err
 	}
 	n.callers = &acceptor.Acceptor{Listener: callers}
-	if n.ready, err = listen(s.ReadyListen); err != nil {
+	if n.ready, err = acceptor.Listen(s.ReadyListen); err != nil {
 		return nil, err
 	}
-	if n.metrics, err = listen(s.MetricsListen); err != nil {
+	if n.metrics, err = acceptor.Listen(s.MetricsListen); err != nil {
 		return nil, err
 	}
 	return n, nil
@@ -206,14 +205,6 @@
 // readClock takes a reading of the store's clock.
 func (n *Node) readClock(store time.Duration) { n.duties.dater.Read(store) }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, coder.Refuse(coder.SettingsBad, "cannot listen at %s", address).WithCause(err)
-	}
-	return l, nil
-}
-
 // Reread decodes the present configuration again, as what it is decoded with
 // has changed.
 func (n *Node) Reread() { n.takeConfig(n.configs.Snapshot(), true) }
@@ -334,10 +325,10 @@
 		ConnState:         n.callers.Note,
 	}
 	ready := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerWait}
-	wg.Go(func() { n.serve(callers, n.callers) })
+	wg.Go(func() { acceptor.Serve(n.log, callers, n.callers) })
 	metrics := &http.Server{Handler: metricsRoutes(), ReadHeaderTimeout: headerWait}
-	wg.Go(func() { n.serve(ready, n.ready) })
-	wg.Go(func() { n.serve(metrics, n.metrics) })
+	wg.Go(func() { acceptor.Serve(n.log, ready, n.ready) })
+	wg.Go(func() { acceptor.Serve(n.log, metrics, n.metrics) })
 	n.log.Info().Str("node", n.settings.ID).Str("data-centre", n.settings.DataCentre).
 		Str("callers", n.settings.CallersListen).Msg("node started")
 	<-ctx.Done()
@@ -359,12 +350,6 @@
 	queueLimit = 4096
 )
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
-		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("an interface failed")
-	}
-}
-
 func (n *Node) periodic() []runner.Periodic {
 	return append(n.dutyTasks(), []runner.Periodic{
 		{Name: "endpoint-list", Every: listEvery, Task: n.observer.RefreshList},
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
+	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
@@ -35,7 +36,7 @@
 const registerEvery = time.Second
 
 func (n *Node) buildMembers() error {
-	l, err := listen(n.settings.PeersListen)
+	l, err := acceptor.Listen(n.settings.PeersListen)
 	if err != nil {
 		return err
 	}
