collector: one watch over the answers of a hub, one head of statements

A node that follows its hub and a hub that states to another one each kept when the other side had last answered, in a field and in a cell, and each filled the head of a statement. Both use the same piece now; the times are the same.

--- a/internal/member/collector/collector.go
+++ b/internal/member/collector/collector.go
@@ -95,10 +95,8 @@
 	news    news
 	avoid   map[string]time.Time
 	hub     string
-	// answeredAt is when the hub last answered.
-	answeredAt time.Time
-	nodes      int
-	number     uint64
+	nodes   int
+	number  uint64
 }
 
 // heard is the newest statement of a node or hub.
--- a/internal/member/collector/follow.go
+++ b/internal/member/collector/follow.go
@@ -8,6 +8,8 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 )
@@ -23,8 +25,11 @@
 	}
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { cancel(c.receive(hub, stream)) })
-	err = c.state(ctx, hub, stream)
+	answered := c.newAnswered()
+	wg.Go(func() {
+		cancel(c.receive(stream, answered, func(s courier.Summary) { c.takeSummary(hub, s) }))
+	})
+	err = c.state(ctx, hub, stream, answered)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
@@ -34,32 +39,57 @@
 	}
 }
 
-// receive takes summaries until the stream ends.
-func (c *Collector) receive(hub registrar.Node, stream Stream) error {
+// answered is when a hub has last answered.
+type answered struct {
+	clock timekeeper.Clock
+	at    keeper.Cell[time.Time]
+}
+
+// newAnswered returns one that counts from now.
+func (c *Collector) newAnswered() *answered {
+	a := &answered{clock: c.Clock}
+	a.note()
+	return a
+}
+
+func (a *answered) note() {
+	a.at.Update(func(time.Time) (time.Time, bool) { return a.clock.Now(), true })
+}
+
+// silent reports whether the hub had not answered for too long at a time. A hub
+// that is suspended is found out by that alone: its machine goes on acknowledging
+// bytes.
+func (a *answered) silent(now time.Time) bool { return now.Sub(a.at.Get()) > silentAfter }
+
+// receive takes the answers of a hub until the stream ends.
+func (c *Collector) receive(stream Stream, a *answered, take func(courier.Summary)) error {
 	for {
 		s, err := stream.Receive()
 		if err != nil {
 			return err
 		}
-		now := c.Clock.Now()
-		c.setHub(hub.ID)
-		c.Work.SetOthers(s.Engines, now)
-		for _, b := range s.Beginnings {
-			c.Work.Learn(b)
-		}
-		c.mu.Lock()
-		c.nodes = s.Nodes
-		c.answeredAt = now
-		c.mu.Unlock()
+		take(s)
+		a.note()
+	}
+}
+
+// takeSummary takes what the hub of this data centre has answered.
+func (c *Collector) takeSummary(hub registrar.Node, s courier.Summary) {
+	c.setHub(hub.ID)
+	c.Work.SetOthers(s.Engines, c.Clock.Now())
+	for _, b := range s.Beginnings {
+		c.Work.Learn(b)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = s.Nodes
 }
 
 // state sends statements until ctx is done, the hub is silent, or another node
 // ranks before it.
-func (c *Collector) state(ctx context.Context, hub registrar.Node, stream Stream) error {
+func (c *Collector) state(ctx context.Context, hub registrar.Node, stream Stream, a *answered) error {
 	var told, revision uint64
 	var before []courier.EngineWork
-	started := c.Clock.Now()
 	sent := time.Time{}
 	for {
 		now := c.Clock.Now()
@@ -75,7 +105,7 @@
 		if err := c.Clock.Sleep(ctx, stateEvery); err != nil {
 			return nil
 		}
-		if now.Sub(c.answered(started)) > silentAfter {
+		if a.silent(now) {
 			return coder.New(coder.NodeNotReached, "the hub is silent")
 		}
 		if first, ok := c.pick(hub.DataCentre); !ok || first.ID != hub.ID {
@@ -84,16 +114,6 @@
 	}
 }
 
-// answered returns when the hub last answered, not before the stream began.
-func (c *Collector) answered(started time.Time) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.answeredAt.After(started) {
-		return c.answeredAt
-	}
-	return started
-}
-
 // statement returns what this node has, with what is new since.
 func (c *Collector) statement(told, revision uint64) (courier.Statement, uint64, uint64) {
 	usage, revision := c.Usage.Since(revision, true)
@@ -101,15 +121,20 @@
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.newStatement()
+	s.Nodes, s.Engines, s.Usage = 1, engines, usage
+	s.Beginnings = c.news.since(told, now, func(it item) bool { return it.origin == c.Self.ID })
+	return s, c.news.last, revision
+}
+
+// newStatement returns the next statement of this node without what it states;
+// the caller holds the lock.
+func (c *Collector) newStatement() courier.Statement {
 	c.number++
 	return courier.Statement{
 		Node:        c.Self.ID,
 		Incarnation: c.Self.Incarnation,
 		DataCentre:  c.Self.DataCentre,
 		Number:      c.number,
-		Nodes:       1,
-		Engines:     engines,
-		Beginnings:  c.news.since(told, now, func(it item) bool { return it.origin == c.Self.ID }),
-		Usage:       usage,
-	}, c.news.last, revision
+	}
 }
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -7,7 +7,6 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 )
@@ -175,12 +174,11 @@
 	if err != nil {
 		return err
 	}
-	var answered keeper.Cell[time.Time]
-	answered.Update(func(time.Time) (time.Time, bool) { return c.Clock.Now(), true })
+	answered := c.newAnswered()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel(nil)
-	wg.Go(func() { cancel(c.receiveFrom(stream, &answered)) })
+	wg.Go(func() { cancel(c.receive(stream, answered, func(courier.Summary) {})) })
 	var told, revision uint64
 	for c.IsHub() {
 		var s courier.Statement
@@ -191,7 +189,7 @@
 		if err := c.Clock.Sleep(ctx, hubEvery); err != nil {
 			return context.Cause(ctx)
 		}
-		if c.Clock.Now().Sub(answered.Get()) > silentAfter {
+		if answered.silent(c.Clock.Now()) {
 			return coder.New(coder.NodeNotReached, "the hub of another data centre is silent")
 		}
 		if first, ok := c.pick(n.DataCentre); !ok || first.ID != n.ID {
@@ -201,18 +199,6 @@
 	return nil
 }
 
-// receiveFrom notes when a hub answers, until the stream ends. Without the
-// answers, a hub that is suspended would be stated to as long as its machine
-// acknowledges bytes, and its successor would learn nothing.
-func (c *Collector) receiveFrom(stream Stream, answered *keeper.Cell[time.Time]) error {
-	for {
-		if _, err := stream.Receive(); err != nil {
-			return err
-		}
-		answered.Update(func(time.Time) (time.Time, bool) { return c.Clock.Now(), true })
-	}
-}
-
 // hubStatement returns the sums of this data centre with what is new since.
 func (c *Collector) hubStatement(told, revision uint64) (courier.Statement, uint64, uint64) {
 	usage, revision := c.Usage.Since(revision, false)
@@ -225,16 +211,8 @@
 	for _, m := range c.members {
 		parts = append(parts, m.statement.Engines)
 	}
-	c.number++
-	return courier.Statement{
-		Node:        c.Self.ID,
-		Incarnation: c.Self.Incarnation,
-		DataCentre:  c.Self.DataCentre,
-		Number:      c.number,
-		Hub:         true,
-		Nodes:       len(c.members) + 1,
-		Engines:     add(parts...),
-		Beginnings:  c.news.since(told, now, func(it item) bool { return it.local }),
-		Usage:       usage,
-	}, c.news.last, revision
+	s := c.newStatement()
+	s.Hub, s.Nodes, s.Engines, s.Usage = true, len(c.members)+1, add(parts...), usage
+	s.Beginnings = c.news.since(told, now, func(it item) bool { return it.local })
+	return s, c.news.last, revision
 }
