explainer: orders of the director are told as orders

The director wrote its own lines under the names of the decisions on roles and the fleet, without the fields that foxtailflow explain reads, which told each of them as "no order". They go through the explainer now, in the form that the other lines have.

--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -217,6 +217,27 @@
 		Msg("roles decided")
 }
 
+// LogNumber writes the line of an order for a number of endpoints.
+func LogNumber(log zerolog.Logger, deployment, dataCentre, tier string, want int, token uint64, err error) {
+	order := dataCentre + "/" + tier + ":want-" + itoa(want)
+	logOrder(log.Info().Str(FieldDecision, Fleet), deployment, order, token, err).Msg("endpoints ordered")
+}
+
+// LogRole writes the line of an order of an engine's role.
+func LogRole(log zerolog.Logger, deployment, engine, from, to string, token uint64, err error) {
+	order := engine + ":" + from + "-to-" + to
+	logOrder(log.Info().Str(FieldDecision, Roles), deployment, order, token, err).Msg("role ordered")
+}
+
+func logOrder(line *zerolog.Event, deployment, order string, token uint64, err error) *zerolog.Event {
+	reason := "accepted"
+	if err != nil {
+		reason = err.Error()
+	}
+	return line.Str(FieldDeployment, deployment).Str(FieldReason, reason).Strs(FieldOrders, []string{order}).
+		Dict(FieldFigures, zerolog.Dict().Uint64("fencing-token", token))
+}
+
 // LogFleet writes the line of a decision on the fleet.
 func LogFleet(log zerolog.Logger, deployment string, d planner.Decision) {
 	orders, rejected := zerolog.Arr(), zerolog.Arr()
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -48,6 +48,8 @@
 		Orders:   []balancer.Order{{Engine: "engine-1", From: picker.Prefill, To: picker.Decode}},
 		Rejected: []balancer.Rejected{{Engine: "engine-2", Reason: balancer.ReasonMoreBusy}},
 	})
+	explainer.LogNumber(log, "presenter-lm", "dc-1", "spot", 6, 3, coder.Refuse(coder.NoEndpoint, "there are none"))
+	explainer.LogRole(log, "presenter-lm", "engine-1", "prefill", "decode", 3, nil)
 	explainer.LogFleet(log, "wichse-llm", planner.Decision{
 		Reason: "demand-above-fleet", Survives: 12, Cost: 5400,
 		Targets:  []planner.Target{{DataCentre: "dc-1", Tier: "spot", Count: 6}},
--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -21,6 +21,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 )
 
@@ -288,9 +289,7 @@
 			continue
 		}
 		err := r.Supplier.Want(ctx, g, s.Deployment.Name, c)
-		r.Log.Info().Str("decision", "fleet").Str("deployment", s.Deployment.Name).Str("data-centre", c.DataCentre).
-			Str("tier", string(c.Tier)).Int("want", c.Want).Int("before", last.want).
-			Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("endpoints ordered")
+		explainer.LogNumber(r.Log, s.Deployment.Name, c.DataCentre, string(c.Tier), c.Want, g.Token, err)
 		switch {
 		case coder.Is(err, coder.NoEndpoint):
 			t.refused[c.DataCentre] = r.Clock.Now()
@@ -367,9 +366,7 @@
 		return err
 	}
 	err = r.Engines.SetRole(ctx, g, e, role, accepted)
-	r.Log.Info().Str("decision", "roles").Str("deployment", s.Deployment.Name).Str("endpoint", e.ID).
-		Str("role", string(role)).Str("before", string(e.Report.Role)).Uint64("accepted", accepted).
-		Uint64("fencing-token", g.Token).AnErr("failure", err).Msg("role ordered")
+	explainer.LogRole(r.Log, s.Deployment.Name, e.ID, string(e.Report.Role), string(role), g.Token, err)
 	if coder.Is(err, coder.StaleFencing) || coder.Is(err, coder.LeaseNotHeld) {
 		return err
 	}
