placer: decisions are made from the endpoints as they are listed

A Candidate was a copy of each endpoint with one number; the numbers are in a map of their own now, and the chooser copies the list once and not twice for a request.

--- a/internal/decision/placer/bench_test.go
+++ b/internal/decision/placer/bench_test.go
@@ -24,10 +24,10 @@
 		if i%5 == 0 {
 			role = picker.Decode
 		}
-		d.Engines = append(d.Engines, placer.Candidate{Endpoint: picker.Endpoint{
+		d.Engines = append(d.Engines, picker.Endpoint{
 			ID: fmt.Sprint("engine-", i), Address: fmt.Sprint("10.0.0.", i), DataCentre: string(rune('a' + i%3)),
 			Report: picker.Report{Role: role}, Elsewhere: picker.Elsewhere{At: now, Reading: i * 100},
-		}})
+		})
 	}
 	for b.Loop() {
 		if p := d.Plan(); !p.Run.OK {
--- a/internal/decision/placer/estimate.go
+++ b/internal/decision/placer/estimate.go
@@ -24,6 +24,8 @@
 	// refuses says that it is left alone after a refusal, or has failed the
 	// request.
 	refuses bool
+	// held is the tokens of the prompt's beginning in its cache.
+	held int
 	// waiting is the prompt tokens that it has to read before.
 	waiting float64
 	// answering is the cost of one more answer, crossing that of sending the
@@ -43,9 +45,10 @@
 	for i := range d.Engines {
 		e := &d.Engines[i]
 		c.estimates[i] = estimate{
-			status:    picker.Status(e.Endpoint),
+			status:    picker.Status(*e),
 			role:      e.Report.Role,
 			refuses:   d.Need.Now.Before(e.RefusedUntil) || slices.Contains(d.Need.Tried, e.ID),
+			held:      d.Held[e.ID],
 			waiting:   c.waiting(e),
 			answering: c.answering(e),
 			crossing:  c.crossing(e),
@@ -97,7 +100,7 @@
 	if holder < 0 || holder == i || !c.Engine.Fetches {
 		return 0
 	}
-	if n := c.Engines[holder].Held - c.Engines[i].Held; n >= minCopy {
+	if n := c.estimates[holder].held - c.estimates[i].held; n >= minCopy {
 		return n
 	}
 	return 0
@@ -105,7 +108,7 @@
 
 // left returns the tokens that an engine has to read of the prompt.
 func (c *comparison) left(i, holder int) int {
-	return max(c.Need.Prompt-c.Engines[i].Held-c.copies(i, holder), 0)
+	return max(c.Need.Prompt-c.estimates[i].held-c.copies(i, holder), 0)
 }
 
 // reading is the cost of reading the prompt at an engine, with what waits there.
@@ -127,7 +130,7 @@
 }
 
 // waiting estimates the prompt tokens that an engine has to read before.
-func (c *comparison) waiting(e *Candidate) float64 {
+func (c *comparison) waiting(e *picker.Endpoint) float64 {
 	if c.heard(e) {
 		return float64(e.SentWork + e.Elsewhere.Reading)
 	}
@@ -135,12 +138,12 @@
 }
 
 // heard reports whether what other nodes have stated is recent.
-func (c *comparison) heard(e *Candidate) bool {
+func (c *comparison) heard(e *picker.Endpoint) bool {
 	return !e.Elsewhere.At.IsZero() && c.Need.Now.Sub(e.Elsewhere.At) < elsewhereLife
 }
 
 // others estimates the requests of other nodes at an engine.
-func (c *comparison) others(e *Candidate) float64 {
+func (c *comparison) others(e *picker.Endpoint) float64 {
 	if c.heard(e) {
 		return float64(e.Elsewhere.Requests)
 	}
@@ -152,7 +155,7 @@
 }
 
 // answering is the cost of one more answer at an engine.
-func (c *comparison) answering(e *Candidate) cost {
+func (c *comparison) answering(e *picker.Endpoint) cost {
 	n := float64(e.Sent) + c.others(e)
 	p := n * requestWeight
 	slots := e.Slots
@@ -166,7 +169,7 @@
 }
 
 // crossing is the cost of sending the request to another data centre.
-func (c *comparison) crossing(e *Candidate) cost {
+func (c *comparison) crossing(e *picker.Endpoint) cost {
 	if e.DataCentre == c.Need.DataCentre {
 		return 0
 	}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -52,13 +52,6 @@
 	Now  time.Time
 }
 
-// Candidate is an endpoint with what it probably holds of the prompt.
-type Candidate struct {
-	picker.Endpoint
-	// Held is the number of tokens of the prompt's beginning in its cache.
-	Held int
-}
-
 // cost is engine time, and time that the caller waits, in milliseconds.
 type cost = float64
 
@@ -108,7 +101,10 @@
 	Rates   Rates
 	Engine  definer.Engine
 	Slots   int
-	Engines []Candidate
+	Engines []picker.Endpoint
+	// Held has the tokens of the prompt's beginning that are probably in an
+	// engine's cache, by the engine's identifier.
+	Held map[string]int
 }
 
 // Plan returns where the request goes, or how long it has to wait for an engine.
@@ -174,11 +170,11 @@
 		return picker.Choice{}
 	}
 	e := &c.Engines[i]
-	b := picker.Basis{Held: e.Held, Waiting: int(c.estimates[i].waiting), InWork: e.Sent + int(c.others(e)), Age: -1}
+	b := picker.Basis{Held: c.estimates[i].held, Waiting: int(c.estimates[i].waiting), InWork: e.Sent + int(c.others(e)), Age: -1}
 	if !e.Elsewhere.At.IsZero() {
 		b.Age = c.Need.Now.Sub(e.Elsewhere.At)
 	}
-	return picker.Choice{Endpoint: e.Endpoint, OK: true, Reason: reason, Basis: b}
+	return picker.Choice{Endpoint: *e, OK: true, Reason: reason, Basis: b}
 }
 
 // holder returns the engine that holds the longest beginning, one in the data
@@ -186,12 +182,12 @@
 func (c *comparison) holder() int {
 	best := -1
 	for i := range c.Engines {
-		e := &c.Engines[i]
-		if e.Held == 0 || c.estimates[i].status != "" {
+		held := c.estimates[i].held
+		if held == 0 || c.estimates[i].status != "" {
 			continue
 		}
-		if best < 0 || e.Held > c.Engines[best].Held ||
-			e.Held == c.Engines[best].Held && e.DataCentre == c.Need.DataCentre {
+		if best < 0 || held > c.estimates[best].held ||
+			held == c.estimates[best].held && c.Engines[i].DataCentre == c.Need.DataCentre {
 			best = i
 		}
 	}
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -28,7 +28,8 @@
 	now     time.Time
 	engine  definer.Engine
 	slots   int
-	engines []placer.Candidate
+	engines []picker.Endpoint
+	held    map[string]int
 }
 
 func number(t *testing.T, text string) int {
@@ -42,7 +43,7 @@
 func (w *world) do(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "engines":
-		w.engines = nil
+		w.engines, w.held = nil, make(map[string]int)
 		for line := range strings.Lines(d.Input) {
 			w.engines = append(w.engines, w.candidate(t, strings.Fields(line)))
 		}
@@ -71,24 +72,24 @@
 				need.Direct = true
 			}
 		}
-		return show(placer.Decision{Need: need, Rates: placer.DefaultRates(), Engine: w.engine, Slots: w.slots, Engines: w.engines}.Plan())
+		return show(placer.Decision{Need: need, Rates: placer.DefaultRates(), Engine: w.engine, Slots: w.slots, Engines: w.engines, Held: w.held}.Plan())
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
 }
 
 // candidate reads a line such as "r1 a prefill held=3000 waiting=500".
-func (w *world) candidate(t *testing.T, words []string) placer.Candidate {
-	c := placer.Candidate{Endpoint: picker.Endpoint{
+func (w *world) candidate(t *testing.T, words []string) picker.Endpoint {
+	c := picker.Endpoint{
 		ID: words[0], Address: words[0], DataCentre: words[1],
 		Report:    picker.Report{Role: picker.Role(words[2])},
 		Elsewhere: picker.Elsewhere{At: w.now},
-	}}
+	}
 	for _, word := range words[3:] {
 		name, value, _ := strings.Cut(word, "=")
 		switch name {
 		case "held":
-			c.Held = number(t, value)
+			w.held[c.ID] = number(t, value)
 		case "waiting":
 			c.Elsewhere.Reading = number(t, value)
 		case "requests":
--- a/internal/request/chooser/place.go
+++ b/internal/request/chooser/place.go
@@ -36,16 +36,13 @@
 			Left:       c.left(r, now),
 			Now:        now,
 		},
-		Rates: placer.DefaultRates(),
+		Rates:   placer.DefaultRates(),
+		Engines: c.Observer.Of(r.Route.Deployment),
+		Held:    held,
 	}
 	if dep, ok := c.deployment(r.Route.Deployment); ok {
 		d.Engine, d.Slots = dep.Engine, dep.Slots
 	}
-	endpoints := c.Observer.Of(r.Route.Deployment)
-	d.Engines = make([]placer.Candidate, len(endpoints))
-	for i, e := range endpoints {
-		d.Engines[i] = placer.Candidate{Endpoint: e, Held: held[e.ID]}
-	}
 	plan := d.Plan()
 	for _, choice := range []picker.Choice{plan.Run, plan.Read} {
 		if choice.OK {
