--- a/internal/usage/closer/closer_test.go
+++ b/internal/usage/closer/closer_test.go
@@ -131,18 +131,7 @@
 		}
 		return ""
 	case "crowd":
-		// Many nodes have counted for many client accounts in the present window.
-		var nodes, accounts int
-		d.ScanArgs(t, "nodes", &nodes)
-		d.ScanArgs(t, "accounts", &accounts)
-		for i := range nodes {
-			l := &ledger.Ledger{Self: fmt.Sprintf("front-%d.dlty2srfdqfv", i)}
-			for j := range accounts {
-				l.Count(w.clock.Now().Unix()/5, fmt.Sprintf("account-%d", j))
-			}
-			counts, _ := l.Since(0, true)
-			w.node(d.CmdArgs[0].Key).ledger.Merge(counts, true)
-		}
+		w.crowd(t, d)
 		return ""
 	case "spread":
 		for _, from := range w.nodes {
@@ -166,22 +155,42 @@
 		w.refuses, w.loses = d.HasArg("refuses"), d.HasArg("loses-answers")
 		return ""
 	case "pass":
-		span, err := time.ParseDuration(d.CmdArgs[0].Key)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for end := w.clock.Now().Add(span); w.clock.Now().Before(end); w.clock.Advance(500 * time.Millisecond) {
-			for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
-				// What fails is tried again at the next turn.
-				_ = w.nodes[name].closer.Run(t.Context())
-			}
-		}
+		w.pass(t, d.CmdArgs[0].Key)
 	}
 	reports := w.reports
 	w.reports = nil
 	return strings.Join(append(reports, ""), "\n")
 }
 
+// crowd has many nodes count for many client accounts in the present window.
+func (w *world) crowd(t *testing.T, d *datadriven.TestData) {
+	var nodes, accounts int
+	d.ScanArgs(t, "nodes", &nodes)
+	d.ScanArgs(t, "accounts", &accounts)
+	for i := range nodes {
+		l := &ledger.Ledger{Self: fmt.Sprintf("front-%d.dlty2srfdqfv", i)}
+		for j := range accounts {
+			l.Count(w.clock.Now().Unix()/5, fmt.Sprintf("account-%d", j))
+		}
+		counts, _ := l.Since(0, true)
+		w.node(d.CmdArgs[0].Key).ledger.Merge(counts, true)
+	}
+}
+
+// pass lets the nodes do what is due while time passes.
+func (w *world) pass(t *testing.T, span string) {
+	d, err := time.ParseDuration(span)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := w.clock.Now().Add(d); w.clock.Now().Before(end); w.clock.Advance(500 * time.Millisecond) {
+		for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+			// What fails is tried again at the next turn.
+			_ = w.nodes[name].closer.Run(t.Context())
+		}
+	}
+}
+
 // take gives the duty to a node, as a takeover of its lease does.
 func (w *world) take(t *testing.T, name string) {
 	version, err := w.memory.Commit(t.Context(), transactor.Tx{}.WithPut(leaser.EpochKey(closer.Duty), []byte(name)))
