linker: the test server counts requests of the present command only

The request of the command before, which is cut off while its body is sent, may reach the test server only after the next script was set, and took its step. Forcing that order fails the old test in 5 of 5 runs (the late request gets the step 'silence', the due one 'ok') and the new one in none. Ruled out: a second send by the linker; the connection was new and the only one. Each request now bears the number of its command.

--- a/internal/base/linker/linker_test.go
+++ b/internal/base/linker/linker_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -40,12 +41,16 @@
 	clock  *timekeeper.Fake
 	linker *linker.Linker
 	held   []*linker.Answer
+	// step numbers the commands. Each request bears the number of its own: one
+	// that was cut off may arrive while the next command runs.
+	step int
 }
 
 func (w *world) do(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "send":
-		w.server.script(d.Input)
+		w.step++
+		w.server.script(w.step, d.Input)
 		out := w.send(t, d)
 		if !d.HasArg("failing-body") {
 			// Whether a request that is cut off arrives is up to chance.
@@ -84,7 +89,10 @@
 }
 
 func (w *world) send(t *testing.T, d *datadriven.TestData) string {
-	m := linker.Message{Method: http.MethodPost, Target: "/x", Header: http.Header{"Id": {"r1"}}, Body: []byte("body")}
+	m := linker.Message{
+		Method: http.MethodPost, Target: "/x", Body: []byte("body"),
+		Header: http.Header{"Id": {"r1"}, "Step": {strconv.Itoa(w.step)}},
+	}
 	o := linker.Options{Accept: func(_ int, h http.Header) bool { return h.Get("Id") != "other" }}
 	address := w.server.address()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -143,6 +151,7 @@
 	listener net.Listener
 
 	mu       sync.Mutex
+	step     string
 	steps    []string
 	requests int
 	accepted int
@@ -168,9 +177,6 @@
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			s.accepted++
-			s.mu.Unlock()
 			go s.serve(c)
 		}
 	}()
@@ -180,10 +186,10 @@
 func (s *server) address() string { return s.listener.Addr().String() }
 func (s *server) close()          { _ = s.listener.Close() }
 
-func (s *server) script(text string) {
+func (s *server) script(step int, text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.steps, s.requests, s.accepted = strings.Fields(text), 0, 0
+	s.step, s.steps, s.requests, s.accepted = strconv.Itoa(step), strings.Fields(text), 0, 0
 }
 
 // told returns what has arrived since the script began.
@@ -191,16 +197,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.requests == 0 {
-		// A connection may be accepted later than the sender knows of it.
 		return "server: nothing\n"
 	}
 	return fmt.Sprintf("server: %d requests, %d new connections\n", s.requests, s.accepted)
 }
 
-func (s *server) next() string {
+// next returns what to do with a request; a request of an earlier command does
+// not count.
+func (s *server) next(command string, first bool) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if command != s.step {
+		return "ok"
+	}
 	s.requests++
+	if first {
+		s.accepted++
+	}
 	if len(s.steps) == 0 {
 		return "ok"
 	}
@@ -231,12 +244,12 @@
 func (s *server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
-	for {
+	for first := true; ; first = false {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		step := s.next()
+		step := s.next(req.Header.Get("Step"), first)
 		if step == "early" {
 			_, _ = io.WriteString(c, answers[step])
 			// The rest of the body is more than the buffers on the way hold.
