dispatcher, retrier: all arrivals beyond the first are paid from the budget

Two more ways to overrun the budget, found by reading: a node that starts again had a full bucket, and a node that is cut off divided the budget by the nodes it could still reach. Now a short prompt is read where it is answered while the budget is empty, a shared bucket starts empty, and the budget is divided by all nodes with rows. Ruled out: attempts of runs, which are paid each; dials that fail, which do not arrive.

--- a/internal/member/collector/collector.go
+++ b/internal/member/collector/collector.go
@@ -37,6 +37,7 @@
 
 // Nodes knows the nodes by their rows.
 type Nodes interface {
+	Nodes() []registrar.Node
 	Of(dataCentre string) []registrar.Node
 	DataCentres() []string
 }
@@ -131,11 +132,14 @@
 // IsHub reports whether this node is a hub.
 func (c *Collector) IsHub() bool { return c.Hub() == c.Self.ID }
 
-// Count returns the number of nodes that are known to run, at least 1.
+// Count returns the number of nodes that may run, at least 1: those that have
+// rows or that state their work, as one that is cut off from here may still
+// serve.
 func (c *Collector) Count() int {
+	rows := len(c.Nodes.Nodes())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.nodes, 1)
+	return max(c.nodes, rows, 1)
 }
 
 // Run exchanges statements until ctx is done.
--- a/internal/member/collector/collector_test.go
+++ b/internal/member/collector/collector_test.go
@@ -48,6 +48,13 @@
 	silent map[string]bool
 }
 
+// Nodes returns all rows.
+func (w *world) Nodes() []registrar.Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.rows)
+}
+
 // Of returns the rows of a data centre.
 func (w *world) Of(dataCentre string) []registrar.Node {
 	w.mu.Lock()
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -40,10 +40,15 @@
 
 // run makes attempts until the answer is whole or no further one is allowed.
 func (d *Dispatcher) run(job *Job, reply carrier.Reply, rule definer.Rule, start attempter.Attempt) carrier.Result {
-	c := &course{job: job, reply: reply, rule: rule, start: start, last: job.request.After}
-	d.payIn(job.request, rule)
+	r := job.request
+	c := &course{job: job, reply: reply, rule: rule, start: start, last: r.After}
+	d.payIn(r, rule)
 	for {
-		plan := d.Chooser.Choose(job.request, c.progress)
+		if c.source.handle.ID == "" && r.PromptTokens <= shortPrompt && !d.mayRetry(r, rule) {
+			// Two engines may refuse it where one reads and another answers.
+			c.progress.Direct = true
+		}
+		plan := d.Chooser.Choose(r, c.progress)
 		if plan.Read.OK && c.source.handle.ID == "" {
 			if !d.read(c, plan) {
 				break
@@ -309,25 +314,43 @@
 
 // payIn adds a request's share of a retry to its budget.
 func (d *Dispatcher) payIn(r carrier.Request, rule definer.Rule) {
-	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
-		b = b.WithRequest(rule.RetryShare)
-		// A full bucket is the same as none, so the table holds few rows.
-		return b, b != retrier.Bucket{}
+	d.budget(r, rule, func(b retrier.Bucket, reserve float64) retrier.Bucket {
+		return b.WithRequest(rule.RetryShare, reserve)
 	})
 }
 
 // payOut takes a retry out of the budget, if there is one.
 func (d *Dispatcher) payOut(r carrier.Request, rule definer.Rule) (paid bool) {
-	reserve := float64(retrier.Reserve)
+	d.budget(r, rule, func(b retrier.Bucket, _ float64) retrier.Bucket {
+		b, paid = b.WithRetry()
+		return b
+	})
+	return paid
+}
+
+// mayRetry reports whether the budget has a retry.
+func (d *Dispatcher) mayRetry(r carrier.Request, rule definer.Rule) (may bool) {
+	d.budget(r, rule, func(b retrier.Bucket, _ float64) retrier.Bucket {
+		may = b.Allows()
+		return b
+	})
+	return may
+}
+
+// budget changes the retry budget of a request's deployment; change gets the
+// most that it holds. A budget that all nodes share is divided among them.
+func (d *Dispatcher) budget(r carrier.Request, rule definer.Rule, change func(retrier.Bucket, float64) retrier.Bucket) {
+	reserve, initial := float64(retrier.Reserve), retrier.Full(retrier.Reserve)
 	if rule.RetryBurst > 0 {
-		reserve = rule.RetryBurst
+		reserve, initial = rule.RetryBurst, retrier.Bucket{}
 		if d.Nodes != nil {
 			reserve /= float64(d.Nodes())
 		}
 	}
-	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, _ bool) (retrier.Bucket, bool) {
-		b, paid = b.WithRetry(reserve)
-		return b, true
+	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, ok bool) (retrier.Bucket, bool) {
+		if !ok {
+			b = initial
+		}
+		return change(b, reserve), true
 	})
-	return paid
 }
--- a/internal/request/dispatcher/read.go
+++ b/internal/request/dispatcher/read.go
@@ -22,8 +22,8 @@
 const maxReads = 2
 
 // shortPrompt is the size of a prompt, in tokens, up to which the engine that
-// answers reads it rather than that the request is refused: it holds up the
-// other answers there for less than a tenth of a second.
+// answers reads it where there is no retry for a refused reading: it holds up
+// the other answers there for less than a tenth of a second.
 const shortPrompt = 1500
 
 // read has an engine read the prompt, and reports whether the request goes on.
@@ -65,11 +65,6 @@
 	if coder.Is(err, coder.EndpointUnreachable) || d.payOut(r, c.rule) {
 		return true
 	}
-	if r.PromptTokens <= shortPrompt {
-		// No answer has been asked for yet, so this costs nothing of the budget.
-		c.progress.Direct = true
-		return true
-	}
 	overrun.Add(1)
 	c.result.Err = coder.Wrap(coder.EndpointRefused, err, "no engine read the prompt").WithOutcome(coder.NotRun).WithRetryAfter(c.rule.Backoff)
 	return false
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -1,8 +1,9 @@
 // Package retrier bounds what retries cost the endpoints.
 //
 // A retry helps one request and loads endpoints that may be failing already.
-// So retries are limited to a share of the requests of a deployment, wait longer each time, and never outlast the deadline. The package is
-// pure: values go in, decisions come out.
+// So retries are limited to a share of the requests of a deployment, wait longer
+// each time, and never outlast the deadline. The package is pure: values go in,
+// decisions come out.
 package retrier
 
 import (
@@ -16,25 +17,34 @@
 
 // Bucket is the retry budget of one deployment.
 //
-// It is an immutable value; the zero value is full.
+// It is an immutable value; the zero value is empty. A node that shares a budget
+// with others starts with that: it may have spent its part before it started
+// again.
 type Bucket struct {
-	// spent is what is missing to a full bucket.
-	spent float64
+	// saved is the number of retries that may be made.
+	saved float64
 }
 
-// WithRequest returns a copy to which a request has added its share of a retry.
-func (b Bucket) WithRequest(share float64) Bucket {
-	b.spent = max(b.spent-share, 0)
+// Full returns a bucket with a number of retries.
+func Full(reserve float64) Bucket { return Bucket{saved: reserve} }
+
+// WithRequest returns a copy to which a request has added its share of a retry,
+// up to a reserve.
+func (b Bucket) WithRequest(share, reserve float64) Bucket {
+	b.saved = min(b.saved+share, reserve)
 	return b
 }
 
+// Allows reports whether a retry can be taken out.
+func (b Bucket) Allows() bool { return b.saved >= 1 }
+
 // WithRetry returns a copy from which a retry was taken, and whether there was
-// enough for it in a bucket that holds the given number.
-func (b Bucket) WithRetry(reserve float64) (Bucket, bool) {
-	if b.spent+1 > reserve {
+// one.
+func (b Bucket) WithRetry() (Bucket, bool) {
+	if !b.Allows() {
 		return b, false
 	}
-	b.spent++
+	b.saved--
 	return b, true
 }
 
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -30,24 +30,26 @@
 }
 
 // TestBudget guards the bound on retries: a retry storm gets no more than the
-// reserve and the share of the requests.
+// reserve and the share of the requests, and a node that starts again while
+// others share its budget no more than the share.
 func TestBudget(t *testing.T) {
 	seeder.Rapid()
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
-		var b retrier.Bucket
+		reserve := rapid.SampledFrom([]float64{0, retrier.Reserve}).Draw(t, "reserve")
+		b := retrier.Full(reserve)
 		requests, retries := 0, 0
 		for _, retry := range rapid.SliceOfN(rapid.Bool(), 0, 400).Draw(t, "retry") {
 			if !retry {
-				b, requests = b.WithRequest(share), requests+1
+				b, requests = b.WithRequest(share, retrier.Reserve), requests+1
 				continue
 			}
 			var ok bool
-			if b, ok = b.WithRetry(retrier.Reserve); ok {
+			if b, ok = b.WithRetry(); ok {
 				retries++
 			}
 		}
-		if float64(retries) > retrier.Reserve+share*float64(requests)+1e-6 {
+		if float64(retries) > reserve+share*float64(requests)+1e-6 {
 			t.Fatalf("%d retries for %d requests at a share of %g", retries, requests, share)
 		}
 	})
