dispatcher: a node keeps to its part of the connections of an endpoint

Cause: the number of connections that an endpoint takes from all nodes together was decoded and used nowhere; an endpoint resets those beyond, and a request on one is of unknown outcome. A full set of connections is no arrival, so a further attempt costs no retry.

--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -84,8 +84,6 @@
 	// Slots is the number of requests that it works on at once; 0 means that of
 	// its deployment.
 	Slots int
-	// Connections bounds this node's connections to it; 0 means no bound.
-	Connections int
 	// Sent is the number of requests of this node in progress.
 	Sent int
 	// SentWork is the prompt tokens of those requests that are still to be read.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -18,6 +18,9 @@
 	job   *Job
 	reply carrier.Reply
 	rule  definer.Rule
+	// connections bounds this node's connections to one endpoint; 0 means no
+	// bound.
+	connections int
 	// start is the state in which each attempt begins.
 	start    attempter.Attempt
 	history  attempter.History
@@ -41,7 +44,7 @@
 // run makes attempts until the answer is whole or no further one is allowed.
 func (d *Dispatcher) run(job *Job, reply carrier.Reply, rule definer.Rule, start attempter.Attempt) carrier.Result {
 	r := job.request
-	c := &course{job: job, reply: reply, rule: rule, start: start, last: r.After}
+	c := &course{job: job, reply: reply, rule: rule, start: start, last: r.After, connections: d.connections(r.Route.Deployment)}
 	d.payIn(r, rule)
 	for {
 		if c.source.handle.ID == "" && r.PromptTokens <= shortPrompt && !d.mayRetry(r, rule) {
@@ -145,7 +148,7 @@
 		Request:     r,
 		Endpoint:    e.Instance,
 		Address:     e.Address,
-		Connections: e.Connections,
+		Connections: c.connections,
 		Fresh:       c.reset,
 		Start:       c.start,
 		Begun:       c.history.Begun(),
@@ -300,8 +303,7 @@
 
 // payFor takes another attempt out of the retry budget, if it counts.
 func (d *Dispatcher) payFor(c *course) bool {
-	err := c.history.Err()
-	if c.history.Outcome() == coder.NotRun && (!c.rule.CountRefused || coder.Is(err, coder.EndpointUnreachable)) {
+	if c.history.Outcome() == coder.NotRun && (!c.rule.CountRefused || !arrived(c.history.Err())) {
 		// What did not arrive, or did not run, has cost no endpoint anything.
 		return true
 	}
@@ -312,6 +314,38 @@
 	return true
 }
 
+// arrived reports whether a request that failed may have reached an endpoint.
+func arrived(err error) bool {
+	return !coder.Is(err, coder.EndpointUnreachable) && !coder.Is(err, coder.ConnectionsFull)
+}
+
+// unevenness is how many times its even part of an endpoint's connections a node
+// may have: a balancer gives some nodes twice the requests of others, and an
+// even part for each leaves connections unused.
+const unevenness = 2
+
+// connections returns this node's part of the connections that an endpoint of a
+// deployment takes; 0 means no bound.
+func (d *Dispatcher) connections(deployment string) int {
+	cfg, err := d.Configs.Config()
+	if err != nil {
+		return 0
+	}
+	dep, ok := cfg.Deployment(deployment)
+	if !ok || dep.MaxConnections == 0 {
+		return 0
+	}
+	return max(unevenness*dep.MaxConnections/d.nodes(), 1)
+}
+
+// nodes returns the number of nodes.
+func (d *Dispatcher) nodes() int {
+	if d.Nodes == nil {
+		return 1
+	}
+	return d.Nodes()
+}
+
 // payIn adds a request's share of a retry to its budget.
 func (d *Dispatcher) payIn(r carrier.Request, rule definer.Rule) {
 	d.budget(r, rule, func(b retrier.Bucket, reserve float64) retrier.Bucket {
@@ -342,10 +376,7 @@
 func (d *Dispatcher) budget(r carrier.Request, rule definer.Rule, change func(retrier.Bucket, float64) retrier.Bucket) {
 	reserve, initial := float64(retrier.Reserve), retrier.Full(retrier.Reserve)
 	if rule.RetryBurst > 0 {
-		reserve, initial = rule.RetryBurst, retrier.Bucket{}
-		if d.Nodes != nil {
-			reserve /= float64(d.Nodes())
-		}
+		reserve, initial = rule.RetryBurst/float64(d.nodes()), retrier.Bucket{}
 	}
 	d.Budgets.Update(r.Route.Deployment, func(b retrier.Bucket, ok bool) (retrier.Bucket, bool) {
 		if !ok {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -134,7 +134,8 @@
 	// Begun is called when a request has begun to run, once for each; nil means
 	// nothing.
 	Begun func(r carrier.Request)
-	// Nodes returns the number of nodes that share the retry budgets; nil means 1.
+	// Nodes returns the number of nodes that share the retry budgets and the
+	// connections to endpoints; nil means 1.
 	Nodes func() int
 	// Budgets are the retry budgets of the deployments.
 	Budgets keeper.Table[string, retrier.Bucket]
--- a/internal/request/dispatcher/read.go
+++ b/internal/request/dispatcher/read.go
@@ -38,7 +38,7 @@
 		Request:     r,
 		Endpoint:    e.Instance,
 		Address:     e.Address,
-		Connections: e.Connections,
+		Connections: c.connections,
 		Fresh:       c.reset,
 		Fetch:       plan.Fetch,
 	})
@@ -62,7 +62,7 @@
 	c.progress.Tried = append(c.progress.Tried, e.ID)
 	c.reads++
 	c.progress.Direct = c.reads >= maxReads
-	if coder.Is(err, coder.EndpointUnreachable) || d.payOut(r, c.rule) {
+	if !arrived(err) || d.payOut(r, c.rule) {
 		return true
 	}
 	overrun.Add(1)
