ledger, courier: usage is counted by meters

Cause: the ledger counted requests of client accounts only, so the product's own billing by model and tokens needed a second way of counting (counter, sealer). A meter is a client account, a model and a unit; on the users' platform nothing changes but the form of the rows of open and closed windows.

--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -89,14 +89,14 @@
 }
 
 func encodeUsage(u NodeUsage) *UsageMessage {
-	return &UsageMessage{Node: u.Node, Window: u.Window, Counts: mapped(u.Counts, func(c AccountCount) *CountMessage {
-		return &CountMessage{Account: c.Account, Requests: count(c.Requests)}
+	return &UsageMessage{Node: u.Node, Window: u.Window, Counts: mapped(u.Counts, func(c MeterCount) *CountMessage {
+		return &CountMessage{Account: c.Meter.Account, Model: c.Meter.Model, Unit: string(c.Meter.Unit), Count: uint64(max(c.Count, 0))}
 	})}
 }
 
 func decodeUsage(m *UsageMessage) NodeUsage {
-	return NodeUsage{Node: m.GetNode(), Window: m.GetWindow(), Counts: mapped(m.GetCounts(), func(c *CountMessage) AccountCount {
-		return AccountCount{Account: c.GetAccount(), Requests: int(c.GetRequests())}
+	return NodeUsage{Node: m.GetNode(), Window: m.GetWindow(), Counts: mapped(m.GetCounts(), func(c *CountMessage) MeterCount {
+		return MeterCount{Meter: Meter{Account: c.GetAccount(), Model: c.GetModel(), Unit: Unit(c.GetUnit())}, Count: int(c.GetCount())}
 	})}
 }
 
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -9,6 +9,7 @@
 package courier
 
 import (
+	"cmp"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
@@ -49,19 +50,41 @@
 	Age    time.Duration
 }
 
-// NodeUsage is how many requests of each client account a node has begun in a
-// window.
+// Unit is what a meter counts.
+type Unit string
+
+// The units of meters.
+const (
+	Requests     Unit = "requests"
+	PromptTokens Unit = "prompt-tokens"
+	OutputTokens Unit = "output-tokens"
+)
+
+// Meter is what is counted for a client account, for one model or deployment
+// where usage is billed by these.
+type Meter struct {
+	Account string
+	Model   string
+	Unit    Unit
+}
+
+// Compare orders meters.
+func (m Meter) Compare(o Meter) int {
+	return cmp.Or(cmp.Compare(m.Account, o.Account), cmp.Compare(m.Model, o.Model), cmp.Compare(m.Unit, o.Unit))
+}
+
+// NodeUsage is what a node has counted in a window.
 type NodeUsage struct {
 	// Node names one start of a node.
 	Node   string
 	Window int64
-	Counts []AccountCount
+	Counts []MeterCount
 }
 
-// AccountCount is a number of requests of a client account.
-type AccountCount struct {
-	Account  string
-	Requests int
+// MeterCount is the count of a meter.
+type MeterCount struct {
+	Meter Meter
+	Count int
 }
 
 // Statement is what a node states, or a hub for the nodes that have joined it.
--- a/internal/member/collector/collector_test.go
+++ b/internal/member/collector/collector_test.go
@@ -220,7 +220,7 @@
 		w.node(arg(0)).collector.Note(arg(1), []uint64{key})
 		return ""
 	case "count":
-		w.node(arg(0)).ledger.Count(1, arg(1))
+		w.node(arg(0)).ledger.Count(1, courier.Meter{Account: arg(1), Unit: courier.Requests}, 1)
 		return ""
 	case "kill":
 		n := w.node(arg(0))
@@ -260,9 +260,18 @@
 			requests += e.Requests
 		}
 		fmt.Fprintf(&b, "%s: hub %s, %d nodes, others' requests %d, learned %v, counted %v\n",
-			name, n.collector.Hub(), n.collector.Count(), requests, n.learned, n.ledger.Total(1))
+			name, n.collector.Hub(), n.collector.Count(), requests, n.learned, counted(n.ledger.Total(1)))
 		n.learned = nil
 		n.mu.Unlock()
 	}
 	return b.String()
 }
+
+// counted returns the requests of each client account.
+func counted(counts map[courier.Meter]int) map[string]int {
+	by := make(map[string]int)
+	for m, n := range counts {
+		by[m.Account] = n
+	}
+	return by
+}
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -12,6 +12,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/fleet/director"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/usage/closer"
 	"foxtailflow.example/foxtailflow/internal/usage/dater"
@@ -137,10 +138,13 @@
 	return watched
 }
 
+// window returns the present window of usage.
+func (n *Node) window() int64 { return n.duties.closer.Settings.WindowAt(n.duties.dater.Now()) }
+
 // begun counts a request that has begun to run.
 func (n *Node) begun(r carrier.Request) {
 	if r.Account != "" {
-		n.duties.ledger.Count(n.duties.closer.Settings.WindowAt(n.duties.dater.Now()), r.Account)
+		n.duties.ledger.Count(n.window(), courier.Meter{Account: r.Account, Unit: courier.Requests}, 1)
 	}
 }
 
--- a/internal/usage/closer/closer.go
+++ b/internal/usage/closer/closer.go
@@ -28,16 +28,16 @@
 
 // Reports receives usage.
 type Reports interface {
-	// ReportUsage reports the requests of each client account in a window, under
-	// a lease. StaleFencing: another holder has reported meanwhile.
-	ReportUsage(ctx context.Context, g leaser.Grant, window int64, counts map[string]int) error
+	// ReportUsage reports the counts of a window, under a lease. StaleFencing:
+	// another holder has reported meanwhile.
+	ReportUsage(ctx context.Context, g leaser.Grant, window int64, counts map[courier.Meter]int) error
 }
 
 // Ledger has the counts of all nodes.
 type Ledger interface {
 	Merge(counts []courier.NodeUsage, local bool)
 	Window(window int64) []courier.NodeUsage
-	Total(window int64) map[string]int
+	Total(window int64) map[courier.Meter]int
 	Windows() []int64
 	Forget(before int64)
 }
@@ -78,7 +78,7 @@
 	epoch uint64
 	// closed has the figures of the windows that are written down, reported
 	// those that were received.
-	closed   map[int64]map[string]int
+	closed   map[int64]map[courier.Meter]int
 	reported map[int64]bool
 	saved    time.Time
 	// pieces is the number of rows that the counts of open windows take up.
@@ -133,7 +133,7 @@
 
 // load reads what former holders have written down.
 func (c *Closer) load(ctx context.Context, g leaser.Grant) error {
-	t := tenure{epoch: g.Epoch, closed: make(map[int64]map[string]int), reported: make(map[int64]bool)}
+	t := tenure{epoch: g.Epoch, closed: make(map[int64]map[courier.Meter]int), reported: make(map[int64]bool)}
 	rows, err := transactor.ScanAll(ctx, c.Table, windowPrefix)
 	if err != nil {
 		return err
@@ -217,11 +217,14 @@
 		return err
 	}
 	c.held.reported[window] = true
-	total := 0
-	for _, n := range counts {
-		total += n
+	requests, accounts := 0, make(map[string]bool)
+	for m, n := range counts {
+		accounts[m.Account] = true
+		if m.Unit == courier.Requests {
+			requests += n
+		}
 	}
-	c.Log.Info().Int64("window", window).Int("requests", total).Int("client-accounts", len(counts)).
+	c.Log.Info().Int64("window", window).Int("requests", requests).Int("client-accounts", len(accounts)).
 		Dur("after-ms", c.Now().Sub(c.Settings.end(window))).Msg("window reported")
 	return c.drop(ctx, g, window)
 }
--- a/internal/usage/closer/closer_test.go
+++ b/internal/usage/closer/closer_test.go
@@ -15,6 +15,7 @@
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 	"foxtailflow.example/foxtailflow/internal/usage/closer"
@@ -65,14 +66,14 @@
 func (n *node) Check(leaser.Grant) error { return nil }
 
 // ReportUsage receives a report.
-func (n *node) ReportUsage(_ context.Context, g leaser.Grant, window int64, counts map[string]int) error {
+func (n *node) ReportUsage(_ context.Context, g leaser.Grant, window int64, counts map[courier.Meter]int) error {
 	w := n.world
 	if w.refuses {
 		return coder.Refuse(coder.PlatformUnavailable, "the receiver is away")
 	}
 	var parts []string
-	for _, account := range slices.Sorted(maps.Keys(counts)) {
-		parts = append(parts, fmt.Sprintf("%s=%d", account, counts[account]))
+	for _, m := range slices.SortedFunc(maps.Keys(counts), courier.Meter.Compare) {
+		parts = append(parts, fmt.Sprintf("%s=%d", m.Account, counts[m]))
 	}
 	text := strings.Join(parts, " ")
 	if len(parts) > 5 {
@@ -127,7 +128,7 @@
 		}
 		l := w.node(d.CmdArgs[0].Key).ledger
 		for range n {
-			l.Count(w.clock.Now().Unix()/5, d.CmdArgs[1].Key)
+			l.Count(w.clock.Now().Unix()/5, meter(d.CmdArgs[1].Key), 1)
 		}
 		return ""
 	case "crowd":
@@ -170,7 +171,7 @@
 	for i := range nodes {
 		l := &ledger.Ledger{Self: fmt.Sprintf("front-%d.dlty2srfdqfv", i)}
 		for j := range accounts {
-			l.Count(w.clock.Now().Unix()/5, fmt.Sprintf("account-%d", j))
+			l.Count(w.clock.Now().Unix()/5, meter(fmt.Sprintf("account-%d", j)), 1)
 		}
 		counts, _ := l.Since(0, true)
 		w.node(d.CmdArgs[0].Key).ledger.Merge(counts, true)
@@ -201,3 +202,8 @@
 	w.holder = name
 	w.grant = leaser.Grant{Duty: closer.Duty, Token: w.grant.Token + 1, Epoch: version}
 }
+
+// meter returns the meter of a client account's requests.
+func meter(account string) courier.Meter {
+	return courier.Meter{Account: account, Unit: courier.Requests}
+}
--- a/internal/usage/closer/rows.go
+++ b/internal/usage/closer/rows.go
@@ -22,27 +22,61 @@
 
 func windowKey(window int64) string { return windowPrefix + strconv.FormatInt(window, 10) }
 
-func encodeWindow(counts map[string]int) []byte {
+func encodeWindow(counts map[courier.Meter]int) []byte {
 	var e jx.Encoder
-	e.Obj(func(e *jx.Encoder) {
-		for account, n := range counts {
-			e.Field(account, func(e *jx.Encoder) { e.Int(n) })
+	e.Arr(func(e *jx.Encoder) {
+		for m, n := range counts {
+			e.Arr(func(e *jx.Encoder) {
+				encodeMeter(e, m)
+				e.Int(n)
+			})
 		}
 	})
 	return e.Bytes()
 }
 
-func decodeCounts(d *jx.Decoder) (map[string]int, error) {
-	counts := make(map[string]int)
-	err := d.Obj(func(d *jx.Decoder, account string) error {
-		n, err := d.Int()
-		counts[account] = n
+func encodeMeter(e *jx.Encoder, m courier.Meter) {
+	e.Arr(func(e *jx.Encoder) {
+		e.Str(m.Account)
+		e.Str(m.Model)
+		e.Str(string(m.Unit))
+	})
+}
+
+func decodeMeter(d *jx.Decoder) (m courier.Meter, err error) {
+	var parts []string
+	err = d.Arr(func(d *jx.Decoder) error {
+		s, err := d.Str()
+		parts = append(parts, s)
 		return err
 	})
+	if err == nil && len(parts) != 3 {
+		err = coder.New(coder.Internal, "a meter has %d parts", len(parts))
+	}
+	if err != nil {
+		return m, err
+	}
+	return courier.Meter{Account: parts[0], Model: parts[1], Unit: courier.Unit(parts[2])}, nil
+}
+
+func decodeCounts(d *jx.Decoder) (map[courier.Meter]int, error) {
+	counts := make(map[courier.Meter]int)
+	err := d.Arr(func(d *jx.Decoder) error {
+		var m courier.Meter
+		place := 0
+		return d.Arr(func(d *jx.Decoder) (err error) {
+			if place++; place == 1 {
+				m, err = decodeMeter(d)
+				return err
+			}
+			counts[m], err = d.Int()
+			return err
+		})
+	})
 	return counts, err
 }
 
-func decodeWindow(row transactor.Row) (int64, map[string]int, error) {
+func decodeWindow(row transactor.Row) (int64, map[courier.Meter]int, error) {
 	window, err := strconv.ParseInt(strings.TrimPrefix(row.Key, windowPrefix), 10, 64)
 	if err != nil {
 		return 0, nil, malformed(err)
@@ -60,9 +94,11 @@
 const (
 	// defaultRowBytes is the size of a row that the platforms known so far take.
 	defaultRowBytes = 64 << 10
-	// countBytes is the most that a count takes up beside the name of its client
-	// account, nodeBytes that of a node beside its counts and name.
+	// countBytes is the most that a count takes up beside its meter, meterBytes
+	// that of a meter beside its names, nodeBytes that of a node beside its counts
+	// and name.
 	countBytes = 20
+	meterBytes = 12
 	nodeBytes  = 64
 )
 
@@ -74,37 +110,37 @@
 	}
 	parts := []open{{reported: o.reported}}
 	size := countBytes * len(o.reported)
-	names := make(map[string]bool)
+	meters := make(map[courier.Meter]bool)
 	for _, u := range o.counts {
 		more := nodeBytes + len(u.Node) + countBytes*len(u.Counts)
 		for _, c := range u.Counts {
-			if !names[c.Account] {
-				more += len(c.Account)
+			if !meters[c.Meter] {
+				more += meterBytes + len(c.Meter.Account) + len(c.Meter.Model) + len(c.Meter.Unit)
 			}
 		}
 		if size+more > rowBytes && len(parts[len(parts)-1].counts) > 0 {
 			parts, size = append(parts, open{}), 0
-			clear(names)
+			clear(meters)
 		}
 		last := &parts[len(parts)-1]
 		last.counts = append(last.counts, u)
 		for _, c := range u.Counts {
-			names[c.Account] = true
+			meters[c.Meter] = true
 		}
 		size += more
 	}
 	return parts
 }
 
-// encodeOpen names each client account once and refers to it by its place.
+// encodeOpen names each meter once and refers to it by its place.
 func encodeOpen(o open) []byte {
-	places := make(map[string]int)
-	var accounts []string
+	places := make(map[courier.Meter]int)
+	var meters []courier.Meter
 	for _, u := range o.counts {
 		for _, c := range u.Counts {
-			if _, ok := places[c.Account]; !ok {
-				places[c.Account] = len(accounts)
-				accounts = append(accounts, c.Account)
+			if _, ok := places[c.Meter]; !ok {
+				places[c.Meter] = len(meters)
+				meters = append(meters, c.Meter)
 			}
 		}
 	}
@@ -117,10 +153,10 @@
 				}
 			})
 		})
-		e.Field("client-accounts", func(e *jx.Encoder) {
+		e.Field("meters", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
-				for _, a := range accounts {
-					e.Str(a)
+				for _, m := range meters {
+					encodeMeter(e, m)
 				}
 			})
 		})
@@ -136,15 +172,15 @@
 }
 
 // encodeUsage writes the counts of a node as pairs of a place and a number.
-func encodeUsage(e *jx.Encoder, u courier.NodeUsage, places map[string]int) {
+func encodeUsage(e *jx.Encoder, u courier.NodeUsage, places map[courier.Meter]int) {
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("node", func(e *jx.Encoder) { e.Str(u.Node) })
 		e.Field("window", func(e *jx.Encoder) { e.Int64(u.Window) })
-		e.Field("requests", func(e *jx.Encoder) {
+		e.Field("pairs", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
 				for _, c := range u.Counts {
-					e.Int(places[c.Account])
-					e.Int(c.Requests)
+					e.Int(places[c.Meter])
+					e.Int(c.Count)
 				}
 			})
 		})
@@ -152,7 +188,7 @@
 }
 
 func decodeOpen(data []byte) (o open, err error) {
-	var accounts []string
+	var meters []courier.Meter
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) error {
 		switch name {
 		case "reported":
@@ -161,15 +197,15 @@
 				o.reported = append(o.reported, w)
 				return err
 			})
-		case "client-accounts":
+		case "meters":
 			return d.Arr(func(d *jx.Decoder) error {
-				a, err := d.Str()
-				accounts = append(accounts, a)
+				m, err := decodeMeter(d)
+				meters = append(meters, m)
 				return err
 			})
 		case "counts":
 			return d.Arr(func(d *jx.Decoder) error {
-				u, err := decodeUsage(d, accounts)
+				u, err := decodeUsage(d, meters)
 				o.counts = append(o.counts, u)
 				return err
 			})
@@ -179,15 +215,15 @@
 	return o, malformed(err)
 }
 
-func decodeUsage(d *jx.Decoder, accounts []string) (u courier.NodeUsage, err error) {
+func decodeUsage(d *jx.Decoder, meters []courier.Meter) (u courier.NodeUsage, err error) {
 	err = d.Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "node":
 			u.Node, err = d.Str()
 		case "window":
 			u.Window, err = d.Int64()
-		case "requests":
-			u.Counts, err = decodePairs(d, accounts)
+		case "pairs":
+			u.Counts, err = decodePairs(d, meters)
 		default:
 			err = d.Skip()
 		}
@@ -196,7 +232,7 @@
 	return u, err
 }
 
-func decodePairs(d *jx.Decoder, accounts []string) (counts []courier.AccountCount, err error) {
+func decodePairs(d *jx.Decoder, meters []courier.Meter) (counts []courier.MeterCount, err error) {
 	place := -1
 	err = d.Arr(func(d *jx.Decoder) error {
 		n, err := d.Int()
@@ -204,10 +240,10 @@
 		case err != nil:
 			return err
 		case place >= 0:
-			counts = append(counts, courier.AccountCount{Account: accounts[place], Requests: n})
+			counts = append(counts, courier.MeterCount{Meter: meters[place], Count: n})
 			place = -1
-		case n < 0 || n >= len(accounts):
-			return coder.New(coder.Internal, "there is no client account %d", n)
+		case n < 0 || n >= len(meters):
+			return coder.New(coder.Internal, "there is no meter %d", n)
 		default:
 			place = n
 		}
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -1,5 +1,4 @@
-// Package ledger counts the requests that nodes have begun, by window of time
-// and client account.
+// Package ledger counts what nodes have served, by window of time and meter.
 //
 // Each start of a node counts for itself, and its counts only grow. So counts
 // that arrive twice or late, from any node, can be merged by taking the
@@ -31,19 +30,19 @@
 
 // row is what one node has counted in one window.
 type row struct {
-	counts map[string]int
+	counts map[courier.Meter]int
 	// revision is that of the ledger when the row last changed.
 	revision uint64
 	// local says that the node is in this node's data centre.
 	local bool
 }
 
-// Count notes that this node has begun a request in a window.
-func (l *Ledger) Count(window int64, account string) {
+// Count adds to a meter of this node in a window.
+func (l *Ledger) Count(window int64, m courier.Meter, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.row(key{window: window, node: l.Self}, true)
-	r.counts[account]++
+	r.counts[m] += n
 	l.revision++
 	r.revision = l.revision
 }
@@ -55,7 +54,7 @@
 	}
 	r, ok := l.rows[k]
 	if !ok {
-		r = &row{counts: make(map[string]int), local: local}
+		r = &row{counts: make(map[courier.Meter]int), local: local}
 		l.rows[k] = r
 	}
 	return r
@@ -72,8 +71,8 @@
 		changed := local && !r.local
 		r.local = r.local || local
 		for _, c := range u.Counts {
-			if c.Requests > r.counts[c.Account] {
-				r.counts[c.Account], changed = c.Requests, true
+			if c.Count > r.counts[c.Meter] {
+				r.counts[c.Meter], changed = c.Count, true
 			}
 		}
 		if changed {
@@ -116,12 +115,12 @@
 	return sorted(out)
 }
 
-// Total returns the counts of a window by client account.
-func (l *Ledger) Total(window int64) map[string]int {
-	total := make(map[string]int)
+// Total returns the counts of a window over all nodes.
+func (l *Ledger) Total(window int64) map[courier.Meter]int {
+	total := make(map[courier.Meter]int)
 	for _, u := range l.Window(window) {
 		for _, c := range u.Counts {
-			total[c.Account] += c.Requests
+			total[c.Meter] += c.Count
 		}
 	}
 	return total
@@ -152,10 +151,10 @@
 
 func usage(k key, r *row) courier.NodeUsage {
 	u := courier.NodeUsage{Node: k.node, Window: k.window}
-	for account, n := range r.counts {
-		u.Counts = append(u.Counts, courier.AccountCount{Account: account, Requests: n})
+	for m, n := range r.counts {
+		u.Counts = append(u.Counts, courier.MeterCount{Meter: m, Count: n})
 	}
-	slices.SortFunc(u.Counts, func(a, b courier.AccountCount) int { return cmp.Compare(a.Account, b.Account) })
+	slices.SortFunc(u.Counts, func(a, b courier.MeterCount) int { return a.Meter.Compare(b.Meter) })
 	return u
 }
 
--- a/internal/usage/ledger/ledger_test.go
+++ b/internal/usage/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/usage/ledger"
 )
 
@@ -49,7 +50,7 @@
 	switch d.Cmd {
 	case "count":
 		for _, account := range d.CmdArgs[2:] {
-			w.ledger(arg(0)).Count(window(1), account.Key)
+			w.ledger(arg(0)).Count(window(1), courier.Meter{Account: account.Key, Unit: courier.Requests}, 1)
 		}
 		return ""
 	case "send":
@@ -73,8 +74,17 @@
 		w.ledger(arg(0)).Forget(window(1))
 		return fmt.Sprintln(w.ledger(arg(0)).Windows())
 	case "total":
-		return fmt.Sprintln(w.ledger(arg(0)).Total(window(1)))
+		return fmt.Sprintln(requests(w.ledger(arg(0)).Total(window(1))))
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
 }
+
+// requests returns the requests of each client account.
+func requests(counts map[courier.Meter]int) map[string]int {
+	by := make(map[string]int)
+	for m, n := range counts {
+		by[m.Account] = n
+	}
+	return by
+}
