--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -35,6 +35,9 @@
 	rows    map[string]transactor.Row
 	// ConfirmedAt is when the store last confirmed the content.
 	ConfirmedAt time.Time
+	// KnownAt is when the store was last asked for the content that it confirmed;
+	// content of other nodes leaves it as it is.
+	KnownAt time.Time
 	// AwaySince is when the store last stopped to answer this node, BackSince
 	// when it answered again; both are zero where it never was away.
 	AwaySince time.Time
@@ -221,7 +224,7 @@
 	f.clock(c)
 	// Rows, and not the version of an answer without any, say how far the
 	// content is complete: a watch may have missed changes.
-	f.take(func(s Snapshot) Snapshot { return s.withChanges(c) })
+	f.take(now, func(s Snapshot) Snapshot { return s.withChanges(c) })
 	f.pause = len(c.Rows) > 0
 	return nil
 }
@@ -234,7 +237,7 @@
 	}
 	f.read = now
 	f.clock(c)
-	f.take(func(s Snapshot) Snapshot {
+	f.take(now, func(s Snapshot) Snapshot {
 		if c.Version < s.Version {
 			return s
 		}
@@ -249,8 +252,8 @@
 	}
 }
 
-// take stores what the store has told.
-func (f *Follower) take(change func(Snapshot) Snapshot) {
+// take stores what the store has told when it was asked at a time.
+func (f *Follower) take(asked time.Time, change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
 	back := f.state.Get().Away()
 	f.failures = 0
@@ -258,6 +261,7 @@
 	f.store(func(s Snapshot) Snapshot {
 		away := s.Away()
 		s = s.withConfirmed(now, now)
+		s.KnownAt = asked
 		if away {
 			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.AwaySince)).Msg("store answers again")
 			s.BackSince = now
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -126,9 +126,6 @@
 	})
 }
 
-// Confirmed returns when the store is known to have had no newer content.
-func (f *Follower) Confirmed() time.Time { return f.confirmed(f.state.Get()) }
-
 // Serve sends the content to another node until ctx is done or send fails.
 func (f *Follower) Serve(ctx context.Context, changed uint64, send func(courier.Content) error) error {
 	var sent Snapshot
