--- a/internal/authority/sender/sender.go
+++ b/internal/authority/sender/sender.go
@@ -27,11 +27,16 @@
 // cannot come between the header and the body.
 const maxRequest = 16 << 10
 
+// Checker tells whether a lease can still be trusted.
+type Checker interface {
+	Check(g leaser.Grant) error
+}
+
 // Sender is an http.RoundTripper that sends under one grant.
 //
 // It is an immutable value; the With methods return changed copies.
 type Sender struct {
-	Holder leaser.Holder
+	Holder Checker
 	// Grant is the lease under which requests are sent.
 	Grant leaser.Grant
 	// Dial opens a connection; nil means net.Dialer.
--- a/internal/base/keeper/table.go
+++ b/internal/base/keeper/table.go
@@ -17,14 +17,12 @@
 // The shared tables in lock order.
 const (
 	RankConfig Rank = iota + 1
-	RankPeers
 	RankLeases
 	RankEndpoints
 	RankCacheIndex
 	RankQueue
 	RankAttempts
 	RankClaims
-	RankUsage
 )
 
 // Table is a map of immutable values that workers share.
--- a/internal/command/printer/printer.go
+++ b/internal/command/printer/printer.go
@@ -28,7 +28,7 @@
 	Encode func(e *jx.Encoder)
 	// Rows are printed in columns; the first is the heading if there are more.
 	Rows [][]string
-	// Text is printed instead where there are no rows.
+	// Text is printed after the rows.
 	Text string
 }
 
@@ -40,17 +40,17 @@
 		_, err := fmt.Fprintln(p.Out, e.String())
 		return err
 	}
-	if len(r.Rows) == 0 {
-		_, err := fmt.Fprintln(p.Out, r.Text)
-		return err
-	}
 	w := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
 	for _, row := range r.Rows {
 		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
 			return err
 		}
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || r.Text == "" {
+		return err
+	}
+	_, err := fmt.Fprintln(p.Out, r.Text)
+	return err
 }
 
 // Fail prints why a command failed, each joined error on a line of its own.
--- a/internal/command/starter/config.go
+++ b/internal/command/starter/config.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 
 	"github.com/go-faster/jx"
 	"github.com/spf13/cobra"
@@ -187,16 +186,12 @@
 }
 
 func notInForce(c requester.Change) error {
-	return coder.New(coder.ConfigNotInForce, "version %d is stored and not yet in force; these nodes have not answered: %s",
-		c.Version, strings.Join(c.Missing, ", "))
+	return coder.New(coder.ConfigNotInForce, "version %d is stored; it is not known to be in force on all nodes yet", c.Version)
 }
 
 func encodeChange(e *jx.Encoder, c requester.Change) {
 	e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
 	e.Field("in-force", func(e *jx.Encoder) { e.Bool(c.InForce) })
-	if len(c.Missing) > 0 {
-		e.Field("missing", func(e *jx.Encoder) { encodeTexts(e, c.Missing) })
-	}
 }
 
 func encodeTexts(e *jx.Encoder, items []string) {
--- a/internal/command/starter/fleet.go
+++ b/internal/command/starter/fleet.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strconv"
 	"strings"
 
 	"github.com/go-faster/jx"
@@ -66,21 +65,16 @@
 }
 
 func statusCommand(o *operator) *cobra.Command {
-	var forget string
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show the nodes as one node knows them",
-		Long: "Show the nodes as the asked node knows them: their configuration version, and\n" +
-			"whether they are live, members of the roster, and fresh enough to answer for keys.\n" +
-			"--forget takes a node out of the roster; use it only if its process is known not\n" +
-			"to run any more and a majority of the roster was lost at once.\n\n" + exitCodes,
-		Example: "  foxtailflow status\n  foxtailflow status --forget node-3",
+		Long: "Show the registered nodes, and what the asked node knows: its configuration\n" +
+			"version, the versions in force on the nodes that it has heard of lately, whether\n" +
+			"it serves requests with keys, whether the store answers it, and its duties.\n" +
+			"A node that was killed stays registered until it starts again.\n\n" + exitCodes,
+		Example: "  foxtailflow status\n  foxtailflow status --output json",
 		Args:    cobra.NoArgs,
 		RunE: o.asking(func(cmd *cobra.Command, c requester.Client, _ []string) (*printer.Result, error) {
-			if forget != "" {
-				r, err := c.Forget(cmd.Context(), forget)
-				return rosterResult(r, forget), err
-			}
 			s, err := c.Status(cmd.Context())
 			if err != nil {
 				return nil, err
@@ -89,67 +83,34 @@
 		}),
 	}
 	o.reach(cmd)
-	cmd.Flags().StringVar(&forget, "forget", "", "node to take out of the roster")
 	return cmd
 }
 
-func rosterResult(r requester.Roster, id string) *printer.Result {
-	if r.Version == 0 {
-		return nil
-	}
-	return &printer.Result{
-		Text: fmt.Sprintf("node %s is out of the roster, which has version %d: %s", id, r.Version, strings.Join(r.Members, ", ")),
-		Encode: func(e *jx.Encoder) {
-			e.Field("roster", func(e *jx.Encoder) { e.UInt64(r.Version) })
-			e.Field("members", func(e *jx.Encoder) { encodeTexts(e, r.Members) })
-		},
-	}
-}
-
 func statusResult(s requester.Status) *printer.Result {
-	rows := [][]string{{"NODE", "DATA-CENTRE", "VERSION", "STATE", "FRESHNESS", "STORE", "OPERATORS"}}
+	rows := [][]string{{"NODE", "DATA-CENTRE", "PEERS", "OPERATORS"}}
 	for _, n := range s.Nodes {
-		freshness := "never"
-		if n.FreshnessAgeMs >= 0 {
-			freshness = fmt.Sprintf("%d ms ago", n.FreshnessAgeMs)
-		}
-		store := "unreachable"
-		if n.StoreReachable {
-			store = "reachable"
-		}
-		rows = append(rows, []string{
-			n.ID, n.DataCentre, strconv.FormatUint(n.Version, 10), nodeState(n), freshness, store, n.OperatorsAddress,
-		})
+		rows = append(rows, []string{n.ID, n.DataCentre, n.PeersAddress, n.OperatorsAddress})
 	}
-	return &printer.Result{Rows: rows, Encode: func(e *jx.Encoder) { encodeStatus(e, s) }}
-}
-
-func nodeState(n requester.Node) string {
-	state := []string{"lost"}
-	if n.Live {
-		state[0] = "live"
-	}
-	if n.Draining {
-		state = append(state, "draining")
+	store, keys := "does not answer", "refused"
+	if s.StoreReachable {
+		store = "answers"
 	}
-	if !n.Fresh {
-		state = append(state, "not fresh")
+	if s.Current {
+		keys = "served"
 	}
-	if !n.Member {
-		state = append(state, "not in the roster")
+	lines := []string{fmt.Sprintf("%s: version %d, requests with keys are %s, the store %s, duties: %s",
+		s.Node, s.Version, keys, store, strings.Join(s.Duties, ", "))}
+	for _, v := range s.Versions {
+		lines = append(lines, fmt.Sprintf("version %d is in force on %d nodes", v.Version, v.Nodes))
 	}
-	return strings.Join(state, ", ")
+	return &printer.Result{Rows: rows, Text: strings.Join(lines, "\n"), Encode: func(e *jx.Encoder) { encodeStatus(e, s) }}
 }
 
 func encodeStatus(e *jx.Encoder, s requester.Status) {
 	e.Field("node", func(e *jx.Encoder) { e.Str(s.Node) })
 	e.Field("version", func(e *jx.Encoder) { e.UInt64(s.Version) })
-	e.Field("roster", func(e *jx.Encoder) {
-		e.Obj(func(e *jx.Encoder) {
-			e.Field("version", func(e *jx.Encoder) { e.UInt64(s.Roster.Version) })
-			e.Field("members", func(e *jx.Encoder) { encodeTexts(e, s.Roster.Members) })
-		})
-	})
+	e.Field("current", func(e *jx.Encoder) { e.Bool(s.Current) })
+	e.Field("store-reachable", func(e *jx.Encoder) { e.Bool(s.StoreReachable) })
 	e.Field("nodes", func(e *jx.Encoder) {
 		e.Arr(func(e *jx.Encoder) {
 			for _, n := range s.Nodes {
@@ -157,22 +118,24 @@
 			}
 		})
 	})
+	e.Field("versions", func(e *jx.Encoder) {
+		e.Arr(func(e *jx.Encoder) {
+			for _, v := range s.Versions {
+				e.Obj(func(e *jx.Encoder) {
+					e.Field("version", func(e *jx.Encoder) { e.UInt64(v.Version) })
+					e.Field("nodes", func(e *jx.Encoder) { e.Int(v.Nodes) })
+				})
+			}
+		})
+	})
 	e.Field("duties", func(e *jx.Encoder) { encodeTexts(e, s.Duties) })
 }
 
 func encodeNode(e *jx.Encoder, n requester.Node) {
 	e.Field("id", func(e *jx.Encoder) { e.Str(n.ID) })
+	e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
 	e.Field("peers-address", func(e *jx.Encoder) { e.Str(n.PeersAddress) })
 	e.Field("operators-address", func(e *jx.Encoder) { e.Str(n.OperatorsAddress) })
-	e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
-	e.Field("version", func(e *jx.Encoder) { e.UInt64(n.Version) })
-	e.Field("live", func(e *jx.Encoder) { e.Bool(n.Live) })
-	e.Field("member", func(e *jx.Encoder) { e.Bool(n.Member) })
-	e.Field("fresh", func(e *jx.Encoder) { e.Bool(n.Fresh) })
-	e.Field("freshness-age-ms", func(e *jx.Encoder) { e.Int(n.FreshnessAgeMs) })
-	e.Field("draining", func(e *jx.Encoder) { e.Bool(n.Draining) })
-	e.Field("store-reachable", func(e *jx.Encoder) { e.Bool(n.StoreReachable) })
-	e.Field("stated-age-ms", func(e *jx.Encoder) { e.Int(n.StatedAgeMs) })
 }
 
 func explainCommand(o *operator) *cobra.Command {
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -1,246 +1,148 @@
-// Package applier keeps the configuration in force on a node.
+// Package applier applies operators' changes to the configuration.
 //
-// Accepted changes form a log in the platform's table: one row for each
-// version, and a head row with the newest. A node follows the log and merges
-// the files after each change. Its version only grows.
-//
-// The node also keeps evidence: the last moment at which it knew that the head
-// was not newer than its own version. Once that is longer ago than FreshFor, it
-// no longer answers for keys. Evidence comes from reading the head, from peers
-// that have evidence, and, if the store cannot be reached, from a majority of
-// the roster. The majority holds no state and orders nothing; the store alone
-// decides which change comes next.
-//
-// A change is in force once no node can answer by an older version: every member
-// of the roster and every other running node has applied it, or a majority of the roster has and FreshFor has passed
-// since, so that a node that was not reached has no evidence left. Majorities
-// intersect, so such a node cannot find new evidence for an older version.
+// The configuration is a folder of files. Each file is a row of the store, and
+// one more row, the head, has the number of the last change. A change is one
+// transaction that requires the head to be as it was read, so changes take
+// effect one after the other, each checked against the result of the one before.
+// The store's answer makes a change accepted; nodes follow the rows.
 package applier
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
-	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
-	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
-// FreshFor is how long a node answers for keys after it last knew that its
-// configuration was the newest.
-const FreshFor = 3 * time.Second
-
-// headWait bounds one read of the head. It is well under FreshFor, so that a
-// store that hangs is known to be unreachable while peers' evidence still holds.
-const headWait = time.Second
-
-// View is the configuration of a node at one moment.
-//
-// It is an immutable value; the With methods return changed copies.
-type View struct {
-	Result merger.Result
-	Files  Files
-	Loaded bool
-	// Evidence is the last moment at which no newer version was known to exist.
-	Evidence time.Time
-	// Since is when the evidence began without a gap.
-	Since time.Time
-}
-
-// WithEvidence returns a copy whose version was known to be the newest at t.
-func (v View) WithEvidence(t time.Time) View {
-	if !t.After(v.Evidence) {
-		return v
-	}
-	if t.Sub(v.Evidence) > FreshFor {
-		v.Since = t
-	}
-	v.Evidence = t
-	return v
-}
-
-// Version returns the version of the configuration.
-func (v View) Version() uint64 { return v.Result.Config.Version() }
-
-// Peers tells what the other nodes last stated of themselves.
-type Peers interface {
-	// Statements returns the newest statement of each node that has not left,
-	// with ages as of the call.
-	Statements() []messenger.State
-	// Running reports whether the node that made the statement counts as running.
-	Running(s messenger.State) bool
-}
-
-// Transport sends messages to peers.
-type Transport interface {
-	Announce(ctx context.Context, address string, a messenger.Announcement) (messenger.Applied, error)
-	Changes(ctx context.Context, address string, after uint64, limit int) (messenger.Changes, error)
-	Roster(ctx context.Context, address string) (messenger.Roster, error)
-}
-
-// Applier keeps the configuration in force on a node.
+// Applier applies changes.
 type Applier struct {
 	Clock timekeeper.Clock
-	Log   zerolog.Logger
 	Table transactor.Table
-	// Objects keeps snapshots; without it the change log is never shortened.
-	Objects transactor.Objects
-	// Self names this node in the roster; the identifier in it must be that of
-	// one process only.
-	Self string
-	// Started is when this process has started.
-	Started time.Time
-	// Peers and Transport reach the other nodes; both may be nil for one that
-	// works alone.
-	Peers     Peers
-	Transport Transport
-	// Reader reports whether this node reads the head at every turn; nil means
-	// that it does.
-	Reader func() bool
-
-	cell     keeper.Cell[View]
-	roster   keeper.Cell[Roster]
-	store    keeper.Cell[storeState]
-	snapshot keeper.Cell[uint64]
-	// rosterRead is when the roster was last read from its row.
-	rosterRead keeper.Cell[time.Time]
 }
 
-// storeState is how the last read of the head ended.
-type storeState struct {
-	down bool
-	at   time.Time
-}
-
-// View returns the configuration and what is known of its age.
-func (a *Applier) View() View { return a.cell.Get() }
+const (
+	// raceTries bounds the tries after other files were changed at the same time.
+	raceTries = 16
+	racePause = 50 * time.Millisecond
+	// unsureWait bounds how long a lost answer of the commit is looked for.
+	unsureWait  = 5 * time.Second
+	unsurePause = 200 * time.Millisecond
+)
 
-// Config returns the newest configuration; ConfigNotLoaded before the first.
-func (a *Applier) Config() (definer.Config, error) {
-	v := a.cell.Get()
-	if !v.Loaded {
-		return definer.Config{}, coder.Refuse(coder.ConfigNotLoaded, "the node has not loaded its configuration").WithRetryAfter(time.Second)
+// Load returns the folder as the store has it now, empty if there is none.
+func (a Applier) Load(ctx context.Context) (Files, error) {
+	rows, err := transactor.ScanAll(ctx, a.Table, Prefix)
+	if err != nil {
+		return Files{}, err
 	}
-	return v.Result.Config, nil
-}
-
-// Current fails with ViewNotCurrent if the configuration may be outdated.
-func (a *Applier) Current() error {
-	v := a.cell.Get()
-	if a.Clock.Now().Sub(v.Evidence) > FreshFor {
-		return coder.Refuse(coder.ViewNotCurrent, "the node cannot tell whether its configuration is current").WithRetryAfter(time.Second)
+	f, err := Decode(rows)
+	if coder.Is(err, coder.ConfigNotLoaded) {
+		return f, nil
 	}
-	return a.Counted()
+	return f, err
 }
 
-// Counted fails with ViewNotCurrent while other nodes may not know that this
-// one runs, and would not wait for it when they accept a change.
+// Propose accepts a change if the file is still at the version seen, and returns
+// the version of the folder with it.
 //
-// A member of the roster is known. A node that cannot become one, since a
-// majority is lost, is known from gossip after a while.
-func (a *Applier) Counted() error {
-	since := a.cell.Get().Since
-	known := !since.IsZero() && a.Clock.Now().Sub(since) > FreshFor+margin
-	if a.Peers == nil || a.roster.Get().Has(a.Self) || known {
-		return nil
+// ConfigConflict: the file was changed since. Errors of the merge: the result
+// would not be valid. In both cases nothing was changed. ConfigOutcomeUnsure:
+// the change may have been stored; a repeat with the same version seen cannot
+// take effect twice.
+func (a Applier) Propose(ctx context.Context, c Change, seen uint64) (uint64, error) {
+	proposal := identifier.Order()
+	for n := 0; ; n++ {
+		before, after, err := a.prepare(ctx, c, seen, proposal)
+		if err != nil {
+			return 0, err
+		}
+		// From here on the change may take effect, so that a caller who hangs up
+		// no longer stops it half-way.
+		ctx := context.WithoutCancel(ctx)
+		err = a.commit(ctx, before, after, c, proposal)
+		if !coder.Is(err, coder.PlatformConflict) {
+			return after.version, err
+		}
+		if n == raceTries {
+			return 0, coder.Refuse(coder.ConfigConflict, "other changes were accepted first, %d times", n).WithCause(err)
+		}
+		if err := a.Clock.Sleep(ctx, time.Duration(rand.Float64()*float64(racePause))); err != nil {
+			return 0, err
+		}
 	}
-	return coder.Refuse(coder.ViewNotCurrent, "the other nodes do not know yet that this one runs").WithRetryAfter(time.Second)
 }
 
-// StoreReachable reports whether the last read of the head succeeded.
-func (a *Applier) StoreReachable() bool { return !a.store.Get().down }
-
-// State adds to s what this node states of its configuration.
-func (a *Applier) State(s messenger.State) messenger.State {
-	// The view is read before the clock, so that no age is stated too young.
-	v, st, r := a.cell.Get(), a.store.Get(), a.roster.Get()
-	now := a.Clock.Now()
-	s.ConfigVersion = v.Version()
-	s.HasEvidence = !v.Evidence.IsZero()
-	if s.HasEvidence {
-		s.EvidenceAge = now.Sub(v.Evidence)
+// prepare checks a change against the newest folder and returns that and the
+// folder with the change.
+func (a Applier) prepare(ctx context.Context, c Change, seen uint64, proposal string) (before, after Files, err error) {
+	if before, err = a.Load(ctx); err != nil {
+		return before, after, err
 	}
-	s.StoreUnreachable = st.down
-	if st.down {
-		s.StoreUnreachableAge = now.Sub(st.at)
+	if before.ChangedAt(c.File) != seen {
+		return before, after, before.conflict(c.File, seen)
 	}
-	s.RosterVersion = r.Version()
-	return s
-}
-
-// ownReadAfter is the age of the evidence at which a node that otherwise takes
-// it from peers reads the head itself; one read fits into what is left.
-const ownReadAfter = FreshFor / 2
-
-// Follow refreshes the view, unless evidence from peers keeps it fresh.
-func (a *Applier) Follow(ctx context.Context) error {
-	v := a.View()
-	if a.Reader != nil && !a.Reader() && v.Loaded && a.Clock.Now().Sub(v.Evidence) < ownReadAfter {
-		return nil
+	if c.Removed && seen == 0 {
+		return before, after, coder.Refuse(coder.ConfigFileUnknown, "there is no file %s", c.File)
 	}
-	return a.Refresh(ctx)
+	after = before.withChange(c, proposal)
+	_, err = merger.Merge(after.Files())
+	return before, after, err
 }
 
-// Refresh reads the head and applies the changes that are missing.
-func (a *Applier) Refresh(ctx context.Context) error {
-	// What was newest when the read began is known to be newest at that time.
-	began := a.Clock.Now()
-	version, _, err := a.readHead(ctx)
-	if err != nil {
+// commit writes a change.
+//
+// After a lost answer the same transaction is sent again: it can take effect
+// once only, since it checks the head, and a conflict then shows whether this
+// change or another one was first.
+func (a Applier) commit(ctx context.Context, before, after Files, c Change, proposal string) error {
+	tx := transactor.Tx{}.WithCheck(headKey, before.row).WithPut(headKey, encodeHead(after))
+	if c.Removed {
+		tx = tx.WithDelete(filePrefix + c.File)
+	} else {
+		tx = tx.WithPut(filePrefix+c.File, encodeFile(after.byName[c.File]))
+	}
+	_, err := a.Table.Commit(ctx, tx)
+	if !coder.Is(err, coder.PlatformUnsure) {
 		return err
 	}
-	if have := a.View(); !have.Loaded || have.Version() < version {
-		if err := a.catchUp(ctx, version); err != nil {
-			return err
+	for until := a.Clock.Now().Add(unsureWait); a.Clock.Now().Before(until); {
+		if _, again := a.Table.Commit(ctx, tx); again == nil {
+			return nil
+		} else if coder.Is(again, coder.PlatformConflict) {
+			if now, rerr := a.Load(ctx); rerr == nil {
+				if now.has(proposal) {
+					return nil
+				}
+				return again
+			}
 		}
-	}
-	if a.Peers != nil && began.Sub(a.View().Evidence) > FreshFor {
-		// After a gap this node may have been taken for lost and removed.
-		r, _, err := a.readRoster(ctx)
-		if err != nil {
-			return err
+		if err := a.Clock.Sleep(ctx, unsurePause); err != nil {
+			break
 		}
-		a.install(r)
 	}
-	a.cell.Update(func(v View) (View, bool) {
-		return v.WithEvidence(began), v.Version() >= version
-	})
-	return nil
+	return coder.Wrap(coder.ConfigOutcomeUnsure, err, "the change may have been stored as version %d; read the file before a repeat", after.version)
 }
 
-// readHead reads the head within headWait and notes whether the store answers.
-func (a *Applier) readHead(ctx context.Context) (version, row uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, headWait)
-	defer cancel()
-	version, row, err = a.head(ctx)
-	down, at := err != nil, a.Clock.Now()
-	a.store.Update(func(s storeState) (storeState, bool) {
-		if s.down != down {
-			a.Log.Warn().Bool("reachable", !down).Msg("reach of the store changed")
-		}
-		return storeState{down: down, at: at}, true
-	})
-	return version, row, err
-}
-
-// apply puts files in force; a version that is not newer changes nothing.
-func (a *Applier) apply(files Files) error {
-	result, err := merger.Merge(files.List())
-	if err != nil {
+// Seed accepts several files at once where there are none yet.
+//
+// The files are checked as a whole, so that they may refer to one another in
+// any order.
+func (a Applier) Seed(ctx context.Context, changes []Change) error {
+	var f Files
+	f.byName = make(map[string]File)
+	tx := transactor.Tx{}.WithAbsent(headKey)
+	for _, c := range changes {
+		f = f.withChange(c, "")
+		tx = tx.WithPut(filePrefix+c.File, encodeFile(f.byName[c.File]))
+	}
+	if _, err := merger.Merge(f.Files()); err != nil {
 		return err
 	}
-	result.Config = result.Config.WithVersion(files.Version())
-	a.cell.Update(func(v View) (View, bool) {
-		if v.Loaded && v.Version() >= files.Version() {
-			return v, false
-		}
-		return View{Result: result, Files: files, Loaded: true, Evidence: v.Evidence, Since: v.Since}, true
-	})
-	return nil
+	_, err := a.Table.Commit(ctx, tx.WithPut(headKey, encodeHead(f)))
+	return err
 }
--- a/internal/config/applier/codec.go
+++ b/internal/config/applier/codec.go
@@ -4,129 +4,112 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 )
 
-// EncodeChange encodes a change for its row.
-func EncodeChange(c Change) []byte {
-	var e jx.Encoder
-	encodeChange(&e, c)
-	return e.Bytes()
-}
+// The rows of the configuration.
+const (
+	// Prefix begins all of them.
+	Prefix     = "config/"
+	headKey    = Prefix + "head"
+	filePrefix = Prefix + "file/"
+)
 
-func encodeChange(e *jx.Encoder, c Change) {
-	e.Obj(func(e *jx.Encoder) {
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
-		e.Field("file", func(e *jx.Encoder) { e.Str(c.File) })
-		e.Field("data", func(e *jx.Encoder) { e.Str(string(c.Data)) })
-		e.Field("removed", func(e *jx.Encoder) { e.Bool(c.Removed) })
-		e.Field("proposal", func(e *jx.Encoder) { e.Str(c.Proposal) })
-	})
+// head is the row that each change raises.
+type head struct {
+	version uint64
+	recent  []accepted
 }
 
-// EncodeChanges encodes changes for a snapshot.
-func EncodeChanges(changes []Change) []byte {
+func encodeHead(f Files) []byte {
 	var e jx.Encoder
-	e.Arr(func(e *jx.Encoder) {
-		for _, c := range changes {
-			encodeChange(e, c)
-		}
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(f.version) })
+		e.Field("recent", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for _, a := range f.recent {
+					e.Obj(a.encode)
+				}
+			})
+		})
 	})
 	return e.Bytes()
 }
 
-// DecodeChanges decodes the changes of a snapshot.
-func DecodeChanges(data []byte) (changes []Change, err error) {
-	err = jx.DecodeBytes(data).Arr(func(d *jx.Decoder) error {
-		c, err := decodeChange(d)
-		changes = append(changes, c)
-		return err
-	})
-	if err != nil {
-		return nil, coder.Wrap(coder.Internal, err, "malformed snapshot of the configuration")
-	}
-	return changes, nil
+func (a accepted) encode(e *jx.Encoder) {
+	e.Field("version", func(e *jx.Encoder) { e.UInt64(a.version) })
+	e.Field("file", func(e *jx.Encoder) { e.Str(a.file) })
+	e.Field("removed", func(e *jx.Encoder) { e.Bool(a.removed) })
+	e.Field("proposal", func(e *jx.Encoder) { e.Str(a.proposal) })
 }
 
-// DecodeChange decodes a change from its row.
-func DecodeChange(data []byte) (Change, error) {
-	c, err := decodeChange(jx.DecodeBytes(data))
-	if err != nil {
-		return c, coder.Wrap(coder.Internal, err, "malformed change of the configuration")
-	}
-	return c, nil
+func decodeHead(data []byte) (h head, err error) {
+	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		switch name {
+		case "version":
+			h.version, err = d.UInt64()
+		case "recent":
+			err = d.Arr(func(d *jx.Decoder) error {
+				a, err := decodeAccepted(d)
+				h.recent = append(h.recent, a)
+				return err
+			})
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	return h, malformed(err)
 }
 
-func decodeChange(d *jx.Decoder) (c Change, err error) {
+func decodeAccepted(d *jx.Decoder) (a accepted, err error) {
 	err = d.Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "version":
-			c.Version, err = d.UInt64()
+			a.version, err = d.UInt64()
 		case "file":
-			c.File, err = d.Str()
-		case "data":
-			var s string
-			s, err = d.Str()
-			c.Data = []byte(s)
+			a.file, err = d.Str()
 		case "removed":
-			c.Removed, err = d.Bool()
+			a.removed, err = d.Bool()
 		case "proposal":
-			c.Proposal, err = d.Str()
+			a.proposal, err = d.Str()
 		default:
 			err = d.Skip()
 		}
 		return err
 	})
-	return c, err
+	return a, err
 }
 
-// encodeRoster encodes the roster for its row.
-func encodeRoster(r messenger.Roster) []byte {
+func encodeFile(f File) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(r.Version) })
-		e.Field("floor", func(e *jx.Encoder) { e.UInt64(r.Floor) })
-		e.Field("members", func(e *jx.Encoder) {
-			e.Arr(func(e *jx.Encoder) {
-				for _, m := range r.Members {
-					e.Str(m)
-				}
-			})
-		})
-		e.Field("added", func(e *jx.Encoder) { e.Str(r.Added) })
-		e.Field("removed", func(e *jx.Encoder) { e.Str(r.Removed) })
-		e.Field("forgotten", func(e *jx.Encoder) { e.Bool(r.Forgotten) })
+		e.Field("changed-at", func(e *jx.Encoder) { e.UInt64(f.ChangedAt) })
+		e.Field("data", func(e *jx.Encoder) { e.Str(string(f.Data)) })
 	})
 	return e.Bytes()
 }
 
-// decodeRoster decodes the roster from its row.
-func decodeRoster(data []byte) (r messenger.Roster, err error) {
-	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+func decodeFile(name string, data []byte) (File, error) {
+	f := File{Name: name}
+	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
-		case "version":
-			r.Version, err = d.UInt64()
-		case "floor":
-			r.Floor, err = d.UInt64()
-		case "members":
-			err = d.Arr(func(d *jx.Decoder) error {
-				m, err := d.Str()
-				r.Members = append(r.Members, m)
-				return err
-			})
-		case "added":
-			r.Added, err = d.Str()
-		case "removed":
-			r.Removed, err = d.Str()
-		case "forgotten":
-			r.Forgotten, err = d.Bool()
+		case "changed-at":
+			f.ChangedAt, err = d.UInt64()
+		case "data":
+			var s string
+			s, err = d.Str()
+			f.Data = []byte(s)
 		default:
 			err = d.Skip()
 		}
 		return err
 	})
-	if err != nil {
-		return r, coder.Wrap(coder.Internal, err, "malformed row %s", RosterKey)
+	return f, malformed(err)
+}
+
+func malformed(err error) error {
+	if err == nil {
+		return nil
 	}
-	return r, nil
+	return coder.Wrap(coder.Internal, err, "malformed row of the configuration")
 }
--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -285,7 +285,6 @@
 	UsageWindow time.Duration
 	DrainWait   time.Duration
 	ReplayLimit int64
-	UsageGroups int
 	WorkPrefill float64
 	WorkDecode  float64
 }
@@ -302,7 +301,6 @@
 		UsageWindow: time.Minute,
 		DrainWait:   60 * time.Second,
 		ReplayLimit: 64 << 10,
-		UsageGroups: 8,
 		WorkPrefill: 1,
 		WorkDecode:  4,
 	}
--- a/internal/config/merger/decode.go
+++ b/internal/config/merger/decode.go
@@ -99,7 +99,6 @@
 	"usage-window": duration(time.Second, 24*time.Hour, func(l *definer.Limits, d time.Duration) { l.UsageWindow = d }),
 	"drain-wait":   duration(0, time.Hour, func(l *definer.Limits, d time.Duration) { l.DrainWait = d }),
 	"replay-limit": size(0, 1<<20, func(l *definer.Limits, n int64) { l.ReplayLimit = n }),
-	"usage-groups": number(1, 256, func(l *definer.Limits, n int) { l.UsageGroups = n }),
 	"work-prefill": fraction(0, 1000, func(l *definer.Limits, f float64) { l.WorkPrefill = f }),
 	"work-decode":  fraction(0, 1000, func(l *definer.Limits, f float64) { l.WorkDecode = f }),
 }
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -55,21 +55,30 @@
 }
 
 func encodeSummary(s Summary) *SummaryMessage {
-	return &SummaryMessage{
+	m := &SummaryMessage{
 		Number:     s.Number,
 		Nodes:      count(s.Nodes),
 		Work:       encodeWork(s.Work),
 		Beginnings: mapped(s.Beginnings, encodeBeginning),
 	}
+	if s.Evidence.Age >= 0 {
+		m.Evidence = &EvidenceMessage{Version: s.Evidence.Version, AgeMs: milliseconds(s.Evidence.Age)}
+	}
+	return m
 }
 
 func decodeSummary(m *SummaryMessage) Summary {
-	return Summary{
+	s := Summary{
 		Number:     m.GetNumber(),
 		Nodes:      int(m.GetNodes()),
 		Work:       decodeWork(m.GetWork()),
 		Beginnings: mapped(m.GetBeginnings(), decodeBeginning),
+		Evidence:   Evidence{Age: -1},
+	}
+	if e := m.GetEvidence(); e != nil {
+		s.Evidence = Evidence{Version: e.GetVersion(), Age: duration(e.GetAgeMs())}
 	}
+	return s
 }
 
 func encodeWork(w Work) *WorkMessage {
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -177,6 +177,13 @@
 	Usage      []NodeUsage
 }
 
+// Evidence says that a version of the configuration was known to be the newest.
+type Evidence struct {
+	Version uint64
+	// Age is how long ago that was; negative means never.
+	Age time.Duration
+}
+
 // Summary is what a hub knows beside the statements of the receiver.
 type Summary struct {
 	// Number is that of the receiver's statement which the summary answers.
@@ -184,6 +191,7 @@
 	Nodes      int
 	Work       Work
 	Beginnings []Beginning
+	Evidence   Evidence
 }
 
 // Content is the content of a table, or its changes since what was sent before.
--- a/internal/lab/assembler/world.go
+++ b/internal/lab/assembler/world.go
@@ -26,6 +26,7 @@
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
 	"foxtailflow.example/foxtailflow/internal/lab/servicer"
 	"foxtailflow.example/foxtailflow/internal/node/assembler"
+	"foxtailflow.example/foxtailflow/internal/node/composer"
 	"foxtailflow.example/foxtailflow/internal/node/configurer"
 )
 
@@ -52,7 +53,7 @@
 	Platform *provider.Memory
 	Engines  []*generator.Engine
 	Services []*servicer.Service
-	Nodes    []*assembler.Node
+	Nodes    []*composer.Node
 
 	plan    Plan
 	clock   timekeeper.Clock
@@ -155,7 +156,7 @@
 
 // configure puts the files into the table before the first node starts.
 func (w *World) configure() error {
-	a := &applier.Applier{Clock: w.clock, Table: w.Platform}
+	a := applier.Applier{Clock: w.clock, Table: w.Platform}
 	changes := make([]applier.Change, 0, len(w.plan.Files))
 	for name, text := range w.plan.Files {
 		changes = append(changes, applier.Change{File: name, Data: []byte(text)})
@@ -174,7 +175,7 @@
 	return nil
 }
 
-func (w *World) startNode(i int, callers string) (*assembler.Node, error) {
+func (w *World) startNode(i int, callers string) (*composer.Node, error) {
 	s := configurer.Settings{
 		ID:              fmt.Sprintf("node-%d", i+1),
 		DataCentre:      w.plan.DataCentres[i%len(w.plan.DataCentres)],
@@ -190,6 +191,7 @@
 		HeaderWait:      connectionLimit,
 		LoadEvery:       100 * time.Millisecond,
 		LeaveWait:       10 * time.Millisecond,
+		StaleAfter:      4 * time.Second,
 	}
 	n, err := assembler.New(s, w.clock, w.plan.Log)
 	if err != nil {
--- /dev/null
+++ b/internal/lab/provider/feed.go
@@ -0,0 +1,83 @@
+package provider
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
+)
+
+var _ transactor.Feed = (*Memory)(nil)
+
+// Read returns all rows with a prefix as of one moment.
+func (m *Memory) Read(ctx context.Context, prefix string) (transactor.Changes, error) {
+	if err := m.admit(ctx, opRead); err != nil {
+		return transactor.Changes{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.newChangesLocked()
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	return c, nil
+}
+
+// Watch returns the rows with a prefix that have changed after a version, as soon
+// as there is one.
+func (m *Memory) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (transactor.Changes, error) {
+	if err := m.admit(ctx, opRead); err != nil {
+		return transactor.Changes{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer m.Clock.AfterFunc(wait, cancel).Stop()
+	for {
+		c, next, err := m.since(prefix, after)
+		if err != nil || len(c.Rows) > 0 {
+			return c, err
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return c, m.down()
+		}
+	}
+}
+
+// since returns the changes after a version, and what is closed at the next one.
+func (m *Memory) since(prefix string, after uint64) (transactor.Changes, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.forgotten {
+		return transactor.Changes{}, nil, coder.Refuse(coder.HistoryGone, "changes after version %d are gone", after)
+	}
+	c := m.newChangesLocked()
+	for _, row := range m.changes {
+		if row.Version > after && strings.HasPrefix(row.Key, prefix) {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return c, m.changed, nil
+}
+
+func (m *Memory) newChangesLocked() transactor.Changes {
+	return transactor.Changes{Version: m.commits, Clock: time.Duration(m.Clock.Now().UnixNano())}
+}
+
+// down fails if the table is down.
+func (m *Memory) down() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.TableDown {
+		return coder.Refuse(coder.PlatformUnavailable, "the platform is down")
+	}
+	return nil
+}
--- a/internal/lab/starter/measure.go
+++ b/internal/lab/starter/measure.go
@@ -72,3 +72,23 @@
 	cmd.Flags().DurationVar(&l.Time, "time", 10*time.Second, "time for each kind of call")
 	return cmd
 }
+
+// acceptanceCommand measures how quickly a change is in force; it is bounded in
+// changes.
+func acceptanceCommand() *cobra.Command {
+	a := measurer.Acceptance{Clock: timekeeper.System{}}
+	cmd := &cobra.Command{
+		Use:     "measure-acceptance",
+		Short:   "Measure how quickly a change of the configuration is in force",
+		Example: "  foxtailflow-lab measure-acceptance --nodes 9",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			a.Out = cmd.OutOrStdout()
+			return a.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().IntVar(&a.Nodes, "nodes", 9, "number of nodes")
+	cmd.Flags().IntVar(&a.DataCentres, "data-centres", 4, "number of data centres")
+	cmd.Flags().IntVar(&a.Changes, "changes", 50, "number of changes")
+	return cmd
+}
--- a/internal/member/collector/collector.go
+++ b/internal/member/collector/collector.go
@@ -50,6 +50,10 @@
 	SetOthers(w courier.Work, at time.Time)
 	// Learn takes a beginning that an engine has read for another node.
 	Learn(b courier.Beginning)
+	// Evidence returns what this node knows of the newest configuration.
+	Evidence() courier.Evidence
+	// Confirm takes the evidence of another node that was asked for it at a time.
+	Confirm(e courier.Evidence, asked time.Time)
 }
 
 // Usage keeps the counts of requests by window, node and client account.
--- a/internal/member/collector/follow.go
+++ b/internal/member/collector/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -38,10 +39,39 @@
 	}
 }
 
-// answered is when a hub has last answered.
+// answered is what is known of the answers of a hub.
 type answered struct {
 	clock timekeeper.Clock
-	at    keeper.Cell[time.Time]
+	// at is when it has last answered.
+	at keeper.Cell[time.Time]
+	// asked has the statements that are not answered yet, in their order.
+	asked keeper.Cell[[]asked]
+}
+
+// asked is a statement with the time before it was sent.
+type asked struct {
+	number uint64
+	at     time.Time
+}
+
+// sent notes that a statement is about to be sent.
+func (a *answered) sent(number uint64) {
+	now := a.clock.Now()
+	a.asked.Update(func(all []asked) ([]asked, bool) {
+		return append(slices.Clip(all), asked{number: number, at: now}), true
+	})
+}
+
+// askedAt returns when the statement with a number was sent, and forgets those up
+// to it; the zero time if that is not known.
+func (a *answered) askedAt(number uint64) (at time.Time) {
+	a.asked.Update(func(all []asked) ([]asked, bool) {
+		for len(all) > 0 && all[0].number <= number {
+			at, all = all[0].at, all[1:]
+		}
+		return all, true
+	})
+	return at
 }
 
 // newAnswered returns one that counts from now.
@@ -67,6 +97,9 @@
 		if err != nil {
 			return err
 		}
+		if at := a.askedAt(s.Number); !at.IsZero() && s.Evidence.Age >= 0 {
+			c.Work.Confirm(s.Evidence, at)
+		}
 		take(s)
 		a.note()
 	}
@@ -96,6 +129,7 @@
 		s, told, revision = c.statement(told, revision)
 		same := s.Work.Equal(before) && len(s.Beginnings) == 0 && len(s.Usage) == 0
 		if !same || now.Sub(sent) >= restEvery {
+			a.sent(s.Number)
 			if err := stream.Send(s); err != nil {
 				return err
 			}
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -22,7 +22,7 @@
 	defer c.mu.Unlock()
 	if s.Hub {
 		c.hearHub(s, now)
-		return courier.Summary{}
+		return courier.Summary{Number: s.Number, Evidence: c.Work.Evidence()}
 	}
 	m := c.hearMember(s, now)
 	c.expire(now)
@@ -32,6 +32,7 @@
 		Nodes:      nodes + 1,
 		Work:       courier.Sum(others, c.Work.Own()),
 		Beginnings: c.news.since(m.told, now, func(it item) bool { return it.origin != s.Node }),
+		Evidence:   c.Work.Evidence(),
 	}
 	m.told = c.news.last
 	return out
@@ -163,6 +164,7 @@
 	for c.IsHub() {
 		var s courier.Statement
 		s, told, revision = c.hubStatement(told, revision)
+		answered.sent(s.Number)
 		if err := stream.Send(s); err != nil {
 			return err
 		}
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -29,8 +29,10 @@
 // Node is a node as its row names it.
 type Node struct {
 	ID string
-	// Address is where other nodes reach it.
+	// Address is where other nodes reach it, Operators where operators do; that
+	// may be empty.
 	Address     string
+	Operators   string
 	DataCentre  string
 	Incarnation uint64
 	// Offset is the node's time of day when it started, less the time that the
@@ -131,6 +133,9 @@
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("address", func(e *jx.Encoder) { e.Str(n.Address) })
+		if n.Operators != "" {
+			e.Field("operators-address", func(e *jx.Encoder) { e.Str(n.Operators) })
+		}
 		e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
 		e.Field("clock-offset-ms", func(e *jx.Encoder) { e.Int64(n.Offset.Milliseconds()) })
 		e.Field("incarnation", func(e *jx.Encoder) { e.UInt64(n.Incarnation) })
@@ -144,6 +149,8 @@
 		switch name {
 		case "address":
 			n.Address, err = d.Str()
+		case "operators-address":
+			n.Operators, err = d.Str()
 		case "data-centre":
 			n.DataCentre, err = d.Str()
 		case "clock-offset-ms":
--- a/internal/node/assembler/links.go
+++ b/internal/node/assembler/links.go
@@ -1,33 +1,23 @@
 package assembler
 
 import (
+	"context"
+	"strconv"
+
+	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/config/applier"
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
-	"foxtailflow.example/foxtailflow/internal/decision/balancer"
 	"foxtailflow.example/foxtailflow/internal/decision/forecaster"
-	"foxtailflow.example/foxtailflow/internal/decision/planner"
 	"foxtailflow.example/foxtailflow/internal/fleet/adviser"
-	"foxtailflow.example/foxtailflow/internal/inner/messenger"
-	"foxtailflow.example/foxtailflow/internal/member/gossiper"
+	"foxtailflow.example/foxtailflow/internal/inner/courier"
+	"foxtailflow.example/foxtailflow/internal/node/composer"
+	"foxtailflow.example/foxtailflow/internal/operator/commander"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/queuer"
+	"foxtailflow.example/foxtailflow/internal/usage/biller"
 )
 
-// link connects the groups of parts that need each other, once all are built.
-func (n *Node) link() {
-	n.live = liveNodes{gossiper: n.membership.gossiper}
-	n.queue.Peers = otherNodes{gossiper: n.membership.gossiper}
-	n.membership.duties = n.heldDuties
-	n.membership.work = n.accountWork
-	meter := &adviser.Meter{Clock: n.clock}
-	n.dispatcher.Queue = meteredQueue{Queue: n.queue, meter: meter}
-	n.orderer.Policy = &adviser.Adviser[balancer.Priced, planner.Surviving]{
-		Clock:   n.clock,
-		Log:     n.log,
-		Demands: allDemand{meter: meter, gossiper: n.membership.gossiper},
-	}
-}
-
 // meteredQueue measures the work that passes through the queue.
 type meteredQueue struct {
 	*queuer.Queue[*dispatcher.Job]
@@ -49,8 +39,8 @@
 
 // allDemand is the demand on all nodes.
 type allDemand struct {
-	meter    *adviser.Meter
-	gossiper *gossiper.Gossiper
+	meter *adviser.Meter
+	node  *composer.Node
 }
 
 // Demand returns the work that arrives for a deployment, in tokens a second.
@@ -58,71 +48,70 @@
 // The balancer spreads callers evenly, so the demand here stands for that of
 // each node in service.
 func (d allDemand) Demand(deployment string) forecaster.Demand {
-	nodes, _ := otherNodes{gossiper: d.gossiper}.Elsewhere()
-	return d.meter.Rates()[deployment].Scale(float64(nodes))
-}
-
-// liveNodes names the nodes that share the duties.
-type liveNodes struct {
-	gossiper *gossiper.Gossiper
-}
-
-// Live returns the running nodes that do not leave, and always this one.
-func (l liveNodes) Live() []string {
-	var names []string
-	for _, m := range l.gossiper.Live() {
-		if m.Self || !m.Draining {
-			names = append(names, m.ID)
-		}
-	}
-	return names
+	return d.meter.Rates()[deployment].Scale(float64(d.node.NodeCount()))
 }
 
 // otherNodes tells the admission what the other nodes do.
-type otherNodes struct {
-	gossiper *gossiper.Gossiper
-}
+type otherNodes struct{ node *composer.Node }
 
 // Elsewhere returns the number of nodes in service, with this one, and the
 // work of each client account on the others.
 func (o otherNodes) Elsewhere() (nodes int, work map[string]admitter.Elsewhere) {
-	nodes, work = 1, make(map[string]admitter.Elsewhere)
-	for _, s := range o.gossiper.Statements() {
-		if !o.gossiper.Running(s) {
-			continue
-		}
-		// A node that drains gets no new requests, but its running ones count.
-		if !s.Draining {
-			nodes++
-		}
-		for _, w := range s.Work {
-			work[w.Account] = work[w.Account].Add(admitter.Elsewhere{
-				Done:    float64(w.Done),
-				Waiting: float64(w.Waiting),
-				Running: int(w.Running),
-			})
-		}
+	work = make(map[string]admitter.Elsewhere)
+	for _, a := range o.node.Others().Accounts {
+		work[a.Account] = admitter.Elsewhere{Done: float64(a.Done), Waiting: float64(a.Waiting), Running: a.Running}
+	}
+	return o.node.NodeCount(), work
+}
+
+// accountWork returns the work of each client account here.
+func accountWork(q *queuer.Queue[*dispatcher.Job]) []courier.AccountWork {
+	var work []courier.AccountWork
+	for _, w := range q.Work() {
+		work = append(work, courier.AccountWork{Account: w.Account, Done: int(w.Done), Waiting: int(w.Waiting), Running: w.Running})
 	}
-	return nodes, work
+	return work
 }
 
-func (n *Node) heldDuties() []string {
-	var duties []string
-	for _, g := range n.leaser.Held() {
-		duties = append(duties, g.Duty)
+// operated is the node as operators call it.
+type operated struct{ *composer.Node }
+
+// Files returns the configuration files as the node has them.
+func (o operated) Files() applier.Files {
+	files, err := applier.Decode(o.Rows().Rows())
+	if err != nil {
+		// Before the first change there are none.
+		return applier.Files{}
 	}
-	return duties
+	return files
 }
 
-func (n *Node) accountWork() []messenger.AccountWork {
-	var work []messenger.AccountWork
-	for _, w := range n.queue.Work() {
-		work = append(work, messenger.AccountWork{
-			Account: w.Account,
-			Done:    uint64(w.Done),
-			Waiting: uint64(w.Waiting),
-			Running: uint32(max(w.Running, 0)),
-		})
+// Standing returns what the node knows of itself and the others.
+func (o operated) Standing() commander.Standing {
+	s := commander.Standing{
+		Node: o.Name(), Current: o.Current() == nil, Away: o.Away(), Nodes: o.Nodes(), Versions: o.Versions(),
 	}
-	return work
+	if cfg, err := o.Config(); err == nil {
+		s.Version = cfg.Version()
+	}
+	for _, g := range o.Leases().Held() {
+		s.Duties = append(s.Duties, g.Duty)
+	}
+	return s
+}
+
+// reports sends the usage of closed windows to the platform.
+type reports struct {
+	builder *builder
+	check   func(leaser.Grant) error
+}
+
+// Check fails if a lease can no longer be trusted.
+func (r reports) Check(g leaser.Grant) error { return r.check(g) }
+
+// ReportUsage reports the figures of a window.
+func (r reports) ReportUsage(ctx context.Context, g leaser.Grant, window int64, counts map[courier.Meter]int) error {
+	return r.builder.platform.WithTransport(fenced(r, g)).Report(ctx, biller.Report{
+		ID: strconv.FormatInt(window, 10), FencingToken: g.Token, Figures: biller.Sum(counts),
+	})
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -55,7 +55,8 @@
 	PeersAdvertise string
 	// Seeds are addresses of nodes to ask while the store cannot be reached.
 	Seeds []string
-	// Stop is the time from the signal to stop until the process is killed.
+	// Stop is the time from the signal to stop until the process is killed; 0 means
+	// that the configuration says how long requests may go on.
 	Stop time.Duration
 	// LeaveWait is how long the balancer may take to notice that the node is not
 	// ready any more.
@@ -66,8 +67,8 @@
 	Workers int
 	// Lease is the time after which others may take over what a node holds.
 	Lease time.Duration
-	// UsageWindow is the length of a window of usage, UsageLate how long after
-	// its end it can be reported.
+	// UsageWindow is the length of a window of usage, 0 that of the configuration;
+	// UsageLate is how long after its end it can be reported.
 	UsageWindow time.Duration
 	UsageLate   time.Duration
 	// RowBytes is the greatest size of a row of the store.
@@ -155,7 +156,8 @@
 	// turn counts the nodes that have failed as sources of tables.
 	turn atomic.Uint64
 
-	callers *acceptor.Acceptor
+	callers   *acceptor.Acceptor
+	operators net.Listener
 	// others are the further interfaces by their listeners.
 	others []listening
 }
@@ -196,6 +198,7 @@
 // New builds a node and opens its listeners.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, ports: p, clock: clock, log: log}
+	n.config.Rank = keeper.RankConfig
 	n.configs = n.follow(p.Config.Prefix, configWait, n.applyConfig)
 	n.endpoints = n.follow(p.EndpointPrefix, listWait, n.applyEndpoints)
 	n.endpoints.Gap = listGap
@@ -213,6 +216,11 @@
 		return nil, err
 	}
 	n.callers = &acceptor.Acceptor{Listener: callers, Clock: clock, Limits: n.callerLimits}
+	if s.OperatorsListen != "" {
+		if n.operators, err = acceptor.Listen(s.OperatorsListen); err != nil {
+			return nil, err
+		}
+	}
 	if err := n.buildMembers(); err != nil {
 		return nil, err
 	}
@@ -222,28 +230,25 @@
 		n.parts = p.Extend(n)
 	}
 	n.buildRequests()
-	for _, err := range []error{
-		n.listen(n.readyRoutes(), s.ReadyListen),
-		n.listen(metricsRoutes(), s.MetricsListen),
-		n.listen(n.parts.Operators, s.OperatorsListen),
-	} {
+	if n.operators != nil {
+		n.serve(n.parts.Operators, n.operators)
+	}
+	for address, routes := range map[string]func() http.Handler{s.ReadyListen: n.readyRoutes, s.MetricsListen: metricsRoutes} {
+		if address == "" {
+			continue
+		}
+		l, err := acceptor.Listen(address)
 		if err != nil {
 			return nil, err
 		}
+		n.serve(routes(), l)
 	}
 	return n, nil
 }
 
-// listen opens a further interface; an empty address means none.
-func (n *Node) listen(h http.Handler, address string) error {
-	if address == "" {
-		return nil
-	}
-	l, err := acceptor.Listen(address)
-	if err == nil {
-		n.others = append(n.others, listening{listener: l, server: &http.Server{Handler: h, ReadHeaderTimeout: headerWait}})
-	}
-	return err
+// serve adds a further interface.
+func (n *Node) serve(h http.Handler, l net.Listener) {
+	n.others = append(n.others, listening{listener: l, server: &http.Server{Handler: h, ReadHeaderTimeout: headerWait}})
 }
 
 // follow returns what follows a table.
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -1,9 +1,9 @@
 package composer
 
 import (
-	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/authority/assigner"
@@ -20,10 +20,12 @@
 )
 
 // Receivers take what one node at a time may send.
-type Receivers interface {
-	closer.Reports
-	director.Supplier
-	director.Engines
+type Receivers struct {
+	Reports closer.Reports
+	// Supplier and Engines take orders of numbers and roles; they are nil where a
+	// part of the platform's own places endpoints.
+	Supplier director.Supplier
+	Engines  director.Engines
 }
 
 // duties are the parts of a node that do the work of one node at a time.
@@ -33,6 +35,10 @@
 	dater    *dater.Dater
 	closer   *closer.Closer
 	director *director.Director[director.Filled]
+	// leaving says that the node hands its duties over itself, and watched has
+	// those that it watched last.
+	leaving atomic.Bool
+	watched keeper.Cell[map[string]int]
 }
 
 const (
@@ -84,7 +90,7 @@
 	receivers := n.ports.Receivers(d.leaser.Check)
 	d.closer = &closer.Closer{
 		Settings: closer.Settings{
-			Window:    n.settings.UsageWindow,
+			Window:    n.usageWindow,
 			Settle:    settle,
 			Late:      n.settings.UsageLate - lateMargin,
 			SaveEvery: saveEvery,
@@ -94,18 +100,21 @@
 		Log:     n.log,
 		Table:   n.ports.Table,
 		Leases:  d.leaser,
-		Reports: receivers,
+		Reports: receivers.Reports,
 		Ledger:  d.ledger,
 		Now:     d.dater.Now,
 	}
+	if receivers.Supplier == nil {
+		return
+	}
 	d.director = &director.Director[director.Filled]{
 		Clock:        n.clock,
 		Log:          n.log,
 		Leases:       d.leaser,
 		Config:       n.Config,
 		Of:           n.observer.Of,
-		Supplier:     receivers,
-		Engines:      receivers,
+		Supplier:     receivers.Supplier,
+		Engines:      receivers.Engines,
 		Policy:       director.Filled{Cheap: cheapShare, Occupancy: occupancy, Readers: readers},
 		TakeoverWait: n.settings.Lease,
 	}
@@ -119,6 +128,15 @@
 // watches returns the duties that this node watches, with its rank in each: the
 // hubs watch all duties, and the data centres rank the hubs.
 func (n *Node) watches() map[string]int {
+	if n.duties.leaving.Load() {
+		return n.duties.watched.Get()
+	}
+	watched := n.hubWatches()
+	n.duties.watched.Update(func(map[string]int) (map[string]int, bool) { return watched, true })
+	return watched
+}
+
+func (n *Node) hubWatches() map[string]int {
 	if !n.members.collector.IsHub() {
 		return nil
 	}
@@ -128,7 +146,10 @@
 	}
 	names := n.members.registrar.DataCentres()
 	watched := make(map[string]int)
-	duties := append(director.Duties(cfg), closer.Duty)
+	duties := []string{closer.Duty}
+	if n.duties.director != nil {
+		duties = append(duties, director.Duties(cfg)...)
+	}
 	if n.parts.Duties != nil {
 		duties = append(duties, n.parts.Duties()...)
 	}
@@ -142,6 +163,15 @@
 	return watched
 }
 
+// usageWindow returns the length of a window of usage: that of the settings, else
+// the configuration's.
+func (n *Node) usageWindow() time.Duration {
+	if n.settings.UsageWindow > 0 {
+		return n.settings.UsageWindow
+	}
+	return n.limits().UsageWindow
+}
+
 // window returns the present window of usage.
 func (n *Node) window() int64 { return n.duties.closer.Settings.WindowAt(n.duties.dater.Now()) }
 
@@ -153,12 +183,20 @@
 }
 
 func (n *Node) dutyTasks() []runner.Periodic {
-	return []runner.Periodic{
+	tasks := []runner.Periodic{
 		{Name: "leases", Every: leaser.FollowEvery, Task: n.duties.leaser.Follow},
 		{Name: "usage", Every: closeEvery, Task: n.duties.closer.Run},
-		{Name: "fleet", Every: directEvery, Task: n.duties.director.Run},
 	}
+	if n.duties.director != nil {
+		tasks = append(tasks, runner.Periodic{Name: "fleet", Every: directEvery, Task: n.duties.director.Run})
+	}
+	return tasks
 }
 
-// leaveDuties gives the leases back.
-func (n *Node) leaveDuties(ctx context.Context) { n.duties.leaser.Release(ctx) }
+// changing returns the engines whose role this node is changing.
+func (n *Node) changing() map[string]bool {
+	if n.duties.director == nil {
+		return nil
+	}
+	return n.duties.director.Changing()
+}
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -31,6 +31,16 @@
 	listener  net.Listener
 	server    *grpc.Server
 	work      work
+	// listed is when this node first saw its own row.
+	listed keeper.Cell[time.Time]
+	// confirmed is the newest evidence of other nodes.
+	confirmed keeper.Cell[confirmed]
+}
+
+// confirmed says that a version of the configuration was the newest at a time.
+type confirmed struct {
+	version uint64
+	at      time.Time
 }
 
 // registerEvery is how often a node looks whether its row stands.
@@ -47,6 +57,7 @@
 	self := registrar.Node{
 		ID:          n.settings.ID,
 		Address:     n.settings.PeersAdvertise,
+		Operators:   n.OperatorsAddress(),
 		DataCentre:  n.settings.DataCentre,
 		Incarnation: uint64(n.clock.Now().UnixNano()),
 	}
@@ -60,10 +71,12 @@
 	m.work = work{
 		observer: n.observer,
 		index:    n.index,
-		changing: func() map[string]bool { return n.duties.director.Changing() },
+		changing: n.changing,
 		names:    &keeper.Cell[map[courier.Engine]string]{},
 		state:    n.state,
 		others:   &keeper.Cell[heard]{},
+		evidence: n.evidence,
+		confirm:  n.confirm,
 	}
 	m.collector = &collector.Collector{
 		Clock: n.clock,
@@ -73,11 +86,23 @@
 		Links: streams{m.links},
 		Work:  m.work,
 	}
-	m.nodes = n.follow(registrar.Prefix, listWait, m.registrar.Apply)
+	m.nodes = n.follow(registrar.Prefix, listWait, n.applyNodes)
 	m.server = courier.NewServer(peers{n})
 	return nil
 }
 
+// applyNodes takes the rows of the nodes.
+func (n *Node) applyNodes(s follower.Snapshot) {
+	m := &n.members
+	m.registrar.Apply(s)
+	self := m.registrar.Self
+	for _, node := range m.registrar.Nodes() {
+		if node.ID == self.ID && node.Incarnation == self.Incarnation {
+			m.listed.Update(func(at time.Time) (time.Time, bool) { return n.clock.Now(), at.IsZero() })
+		}
+	}
+}
+
 // runMembers runs the parts that deal with the other nodes until ctx is done.
 func (n *Node) runMembers(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -117,6 +142,9 @@
 	state func() courier.Work
 	// others is what the other nodes have stated last.
 	others *keeper.Cell[heard]
+	// evidence and confirm give and take what is known of the configuration.
+	evidence func() courier.Evidence
+	confirm  func(courier.Evidence, time.Time)
 }
 
 // heard is what other nodes have in progress, and when that was heard.
@@ -166,6 +194,12 @@
 	w.others.Update(func(heard) (heard, bool) { return heard{work: others, at: at}, true })
 }
 
+// Evidence returns what this node knows of the newest configuration.
+func (w work) Evidence() courier.Evidence { return w.evidence() }
+
+// Confirm takes the evidence of another node that was asked for it at a time.
+func (w work) Confirm(e courier.Evidence, asked time.Time) { w.confirm(e, asked) }
+
 // Learn takes a beginning that an engine has read for another node.
 func (w work) Learn(b courier.Beginning) {
 	if id, ok := w.names.Get()[b.Engine]; ok {
@@ -198,7 +232,7 @@
 
 // Source returns the address of the node to take tables from.
 func (r relay) Source(away bool) string {
-	m := r.node.members
+	m := &r.node.members
 	if hub := m.collector.Hub(); hub != "" && hub != r.node.settings.ID {
 		for _, n := range m.registrar.Of(r.node.settings.DataCentre) {
 			if n.ID == hub {
@@ -216,7 +250,7 @@
 // before the others, as that is probably its hub; before any is known, that of a
 // seed. Another one is returned after each failure.
 func (r relay) other() string {
-	m := r.node.members
+	m := &r.node.members
 	var addresses, rest []string
 	for _, name := range m.registrar.DataCentres() {
 		for i, n := range m.registrar.Of(name) {
--- a/internal/node/configurer/settings.go
+++ b/internal/node/configurer/settings.go
@@ -53,7 +53,10 @@
 	LoadEvery   time.Duration
 	// LeaveWait is how long the balancer takes to see that a node leaves.
 	LeaveWait time.Duration
-	LogLevel  string
+	// StaleAfter is how long requests with keys are served after the configuration
+	// was last known to be the newest.
+	StaleAfter time.Duration
+	LogLevel   string
 }
 
 // maxWorkers keeps a mistyped number from exhausting memory.
@@ -61,7 +64,7 @@
 
 // known lists the keys of each section.
 var known = map[string][]string{
-	"node":      {"id", "data-centre", "workers", "connect-wait", "load-every", "leave-wait", "log-level"},
+	"node":      {"id", "data-centre", "workers", "connect-wait", "load-every", "leave-wait", "stale-after", "log-level"},
 	"callers":   {"listen", "header-wait"},
 	"operators": {"listen", "credential-hash"},
 	"peers":     {"listen", "advertise", "source-address", "addresses"},
@@ -93,6 +96,7 @@
 		ConnectWait:     r.duration("node", "connect-wait", 500*time.Millisecond),
 		LoadEvery:       r.duration("node", "load-every", 250*time.Millisecond),
 		LeaveWait:       r.duration("node", "leave-wait", 2*time.Second),
+		StaleAfter:      r.duration("node", "stale-after", 4*time.Second),
 		LogLevel:        r.level("node", "log-level", "info"),
 		CallersListen:   r.address("callers", "listen"),
 		HeaderWait:      r.duration("callers", "header-wait", 5*time.Second),
--- a/internal/operator/commander/codec.go
+++ b/internal/operator/commander/codec.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 
@@ -10,10 +9,10 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
 	"foxtailflow.example/foxtailflow/internal/config/parser"
-	"foxtailflow.example/foxtailflow/internal/inner/messenger"
+	"foxtailflow.example/foxtailflow/internal/member/registrar"
 )
 
-func encodeAccepted(accepted applier.Acceptance, err error, k *createdKey) []byte {
+func encodeAccepted(version uint64, inForce bool, k *createdKey) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		if k != nil {
@@ -22,28 +21,15 @@
 			e.Field("file", func(e *jx.Encoder) { e.Str(k.file) })
 			e.Field("secret", func(e *jx.Encoder) { e.Str(k.secret) })
 		}
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(accepted.Version) })
-		e.Field("in-force", func(e *jx.Encoder) { e.Bool(accepted.InForce) })
-		if err != nil {
-			f := coder.Of(err)
-			e.Field("code", func(e *jx.Encoder) { e.Str(strconv.Itoa(int(f.Code()))) })
-			e.Field("message", func(e *jx.Encoder) { e.Str(f.Message()) })
-			e.Field("missing", func(e *jx.Encoder) { encodeMembers(e, accepted.Missing) })
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(version) })
+		e.Field("in-force", func(e *jx.Encoder) { e.Bool(inForce) })
+		if !inForce {
+			e.Field("code", func(e *jx.Encoder) { e.Str(strconv.Itoa(int(coder.ConfigNotInForce))) })
 		}
 	})
 	return e.Bytes()
 }
 
-// encodeMembers writes the identifiers of members, each once.
-func encodeMembers(e *jx.Encoder, members []string) {
-	ids := make([]string, 0, len(members))
-	for _, m := range members {
-		ids = append(ids, applier.NodeOf(m))
-	}
-	slices.Sort(ids)
-	encodeStrings(e, slices.Compact(ids))
-}
-
 func encodeStrings(e *jx.Encoder, items []string) {
 	e.Arr(func(e *jx.Encoder) {
 		for _, s := range items {
@@ -70,58 +56,40 @@
 	return e.Bytes()
 }
 
-func encodeStatus(own messenger.State, r applier.Roster, nodes []nodeStatus, duties []string) []byte {
+func encodeStanding(s Standing) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("node", func(e *jx.Encoder) { e.Str(own.ID) })
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(own.ConfigVersion) })
-		e.Field("roster", func(e *jx.Encoder) {
-			e.Obj(func(e *jx.Encoder) {
-				e.Field("version", func(e *jx.Encoder) { e.UInt64(r.Version()) })
-				e.Field("members", func(e *jx.Encoder) { encodeMembers(e, r.Members()) })
+		e.Field("node", func(e *jx.Encoder) { e.Str(s.Node) })
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(s.Version) })
+		e.Field("current", func(e *jx.Encoder) { e.Bool(s.Current) })
+		e.Field("store-reachable", func(e *jx.Encoder) { e.Bool(!s.Away) })
+		e.Field("nodes", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for _, n := range s.Nodes {
+					e.Obj(func(e *jx.Encoder) { encodeNode(e, n) })
+				}
 			})
 		})
-		e.Field("nodes", func(e *jx.Encoder) {
+		e.Field("versions", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
-				for _, n := range nodes {
-					e.Obj(n.encode)
+				for _, c := range s.Versions {
+					e.Obj(func(e *jx.Encoder) {
+						e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
+						e.Field("nodes", func(e *jx.Encoder) { e.Int(c.Nodes) })
+					})
 				}
 			})
 		})
-		e.Field("duties", func(e *jx.Encoder) { encodeStrings(e, duties) })
+		e.Field("duties", func(e *jx.Encoder) { encodeStrings(e, s.Duties) })
 	})
 	return e.Bytes()
 }
 
-func (n nodeStatus) encode(e *jx.Encoder) {
-	s := n.state
-	e.Field("id", func(e *jx.Encoder) { e.Str(s.ID) })
-	if !n.silent {
-		age := int64(-1)
-		if s.HasEvidence {
-			age = s.EvidenceAge.Milliseconds()
-		}
-		e.Field("peers-address", func(e *jx.Encoder) { e.Str(s.PeersAddress) })
-		e.Field("operators-address", func(e *jx.Encoder) { e.Str(s.OperatorsAddress) })
-		e.Field("data-centre", func(e *jx.Encoder) { e.Str(s.DataCentre) })
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(s.ConfigVersion) })
-		e.Field("freshness-age-ms", func(e *jx.Encoder) { e.Int64(age) })
-		e.Field("draining", func(e *jx.Encoder) { e.Bool(s.Draining) })
-		e.Field("store-reachable", func(e *jx.Encoder) { e.Bool(!s.StoreUnreachable) })
-		e.Field("stated-age-ms", func(e *jx.Encoder) { e.Int64(s.StatedAge.Milliseconds()) })
-	}
-	e.Field("live", func(e *jx.Encoder) { e.Bool(n.live) })
-	e.Field("member", func(e *jx.Encoder) { e.Bool(n.member) })
-	e.Field("fresh", func(e *jx.Encoder) { e.Bool(n.fresh) })
-}
-
-func encodeForgotten(r applier.Roster) []byte {
-	var e jx.Encoder
-	e.Obj(func(e *jx.Encoder) {
-		e.Field("roster", func(e *jx.Encoder) { e.UInt64(r.Version()) })
-		e.Field("members", func(e *jx.Encoder) { encodeMembers(e, r.Members()) })
-	})
-	return e.Bytes()
+func encodeNode(e *jx.Encoder, n registrar.Node) {
+	e.Field("id", func(e *jx.Encoder) { e.Str(n.ID) })
+	e.Field("data-centre", func(e *jx.Encoder) { e.Str(n.DataCentre) })
+	e.Field("peers-address", func(e *jx.Encoder) { e.Str(n.Address) })
+	e.Field("operators-address", func(e *jx.Encoder) { e.Str(n.Operators) })
 }
 
 func decodeKeyRequest(data []byte) (account string, err error) {
@@ -172,16 +140,16 @@
 	return f, err
 }
 
-func encodeFiles(version uint64, files []applier.Change) []byte {
+func encodeFiles(files applier.Files) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(version) })
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(files.Version()) })
 		e.Field("files", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
-				for _, f := range files {
+				for _, f := range files.List() {
 					e.Obj(func(e *jx.Encoder) {
-						e.Field("file", func(e *jx.Encoder) { e.Str(f.File) })
-						e.Field("changed-at", func(e *jx.Encoder) { e.UInt64(f.Version) })
+						e.Field("file", func(e *jx.Encoder) { e.Str(f.Name) })
+						e.Field("changed-at", func(e *jx.Encoder) { e.UInt64(f.ChangedAt) })
 					})
 				}
 			})
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -6,6 +6,7 @@
 package commander
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,33 +17,29 @@
 
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
-	"foxtailflow.example/foxtailflow/internal/inner/messenger"
 )
 
 // Commander serves operators.
 type Commander struct {
 	Log     zerolog.Logger
-	Applier *applier.Applier
+	Applier applier.Applier
 	// CredentialHash is the SHA-256 of the operators' credential.
 	CredentialHash [32]byte
-	Clock          timekeeper.Clock
-	Nodes          Nodes
-	// Duties tells which duties this node holds.
-	Duties func() []string
+	Node           Node
 }
 
-// Nodes tells what is known of the nodes.
-type Nodes interface {
-	// Statements returns the newest statement of each other node.
-	Statements() []messenger.State
-	// Running reports whether the node that made the statement counts as running.
-	Running(s messenger.State) bool
-	// Own returns the statement of this node.
-	Own() messenger.State
+// Node is the node that an operator calls.
+type Node interface {
+	// Files returns the configuration files as the node has them.
+	Files() applier.Files
+	// AwaitInForce waits until no node serves by an older version, and reports
+	// whether that is so.
+	AwaitInForce(ctx context.Context, version uint64) bool
+	// Standing returns what the node knows of itself and the others.
+	Standing() Standing
 }
 
 // maxFile bounds one configuration file, in bytes.
@@ -60,7 +57,6 @@
 	r.POST("/keys", c.guard(c.createKey))
 	r.DELETE("/keys/:id", c.guard(c.withdrawKey))
 	r.GET("/status", c.guard(c.status))
-	r.DELETE("/nodes/:id", c.guard(c.forgetNode))
 	return r
 }
 
@@ -122,16 +118,15 @@
 }
 
 func (c Commander) listFiles(*http.Request, httprouter.Params) (answer, error) {
-	v := c.Applier.View()
-	return ok(encodeFiles(v.Version(), v.Files.Changes()))
+	return ok(encodeFiles(c.Node.Files()))
 }
 
 func (c Commander) readFile(_ *http.Request, ps httprouter.Params) (answer, error) {
-	change, found := c.Applier.View().Files.File(ps.ByName("name"))
+	file, found := c.Node.Files().File(ps.ByName("name"))
 	if !found {
 		return answer{}, coder.Refuse(coder.ConfigFileUnknown, "there is no file %s", ps.ByName("name"))
 	}
-	return ok(change.Data)
+	return ok(file.Data)
 }
 
 // readBody reads a body of up to limit bytes.
@@ -165,29 +160,34 @@
 	if err != nil {
 		return answer{}, coder.Refuse(coder.MalformedHeader, "the query value seen is not a version")
 	}
-	accepted, err := c.Applier.Propose(r.Context(), change, seen)
-	return c.accepted(change, accepted, err, nil)
+	version, err := c.Applier.Propose(r.Context(), change, seen)
+	if err != nil {
+		return answer{}, err
+	}
+	return c.accepted(r.Context(), change, version, nil), nil
 }
 
-// accepted answers a change; a key is added where one was created.
+// accepted answers a change that is stored; a key is added where one was created.
 //
-// A change that is stored and not yet in force is an answer and no refusal.
-func (c Commander) accepted(change applier.Change, accepted applier.Acceptance, err error, k *createdKey) (answer, error) {
-	if err != nil && !coder.Is(err, coder.ConfigNotInForce) {
-		return answer{}, err
-	}
-	c.Log.Info().Uint64("version", accepted.Version).Str("file", change.File).Bool("removed", change.Removed).
-		Bool("in-force", accepted.InForce).Strs("missing", accepted.Missing).Msg("configuration changed")
-	done := answer{body: encodeAccepted(accepted, err, k)}
-	if err != nil {
+// A change that is not yet in force is an answer and no refusal.
+func (c Commander) accepted(ctx context.Context, change applier.Change, version uint64, k *createdKey) answer {
+	inForce := c.Node.AwaitInForce(ctx, version)
+	c.Log.Info().Uint64("version", version).Str("file", change.File).Bool("removed", change.Removed).
+		Bool("in-force", inForce).Msg("configuration changed")
+	done := answer{body: encodeAccepted(version, inForce, k)}
+	if !inForce {
 		done.status = http.StatusAccepted
 	}
-	return done, nil
+	return done
 }
 
 func (c Commander) showMerged(*http.Request, httprouter.Params) (answer, error) {
-	v := c.Applier.View()
-	return ok(encodeSettings(v.Version(), v.Result.Settings))
+	files := c.Node.Files()
+	merged, err := merger.Merge(files.Files())
+	if err != nil {
+		return answer{}, err
+	}
+	return ok(encodeSettings(files.Version(), merged.Settings))
 }
 
 // maxFolder bounds a whole folder of files, in bytes.
--- a/internal/operator/commander/key.go
+++ b/internal/operator/commander/key.go
@@ -10,6 +10,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
+	"foxtailflow.example/foxtailflow/internal/config/merger"
 )
 
 // createdKey is a new key; its secret is shown once and kept nowhere.
@@ -43,12 +44,15 @@
 	k.file = keyFile(k.id)
 	text := fmt.Sprintf("[key %q]\nclient-account = %s\nhash = %s\n", k.id, account, authenticator.HashText(k.secret))
 	change := applier.Change{File: k.file, Data: []byte(text)}
-	accepted, err := c.Applier.Propose(r.Context(), change, 0)
-	if coder.Is(err, coder.ConfigOutcomeUnsure) {
+	version, err := c.Applier.Propose(r.Context(), change, 0)
+	switch {
+	case coder.Is(err, coder.ConfigOutcomeUnsure):
 		// The secret is lost with this answer, so the key must not stay unnoticed.
 		return answer{}, coder.Wrap(coder.ConfigOutcomeUnsure, err, "key %s may have been stored; withdraw it and create another", k.id)
+	case err != nil:
+		return answer{}, err
 	}
-	return c.accepted(change, accepted, err, &k)
+	return c.accepted(r.Context(), change, version, &k), nil
 }
 
 // withdrawKey removes the file of a key.
@@ -59,24 +63,32 @@
 	id := ps.ByName("id")
 	change := applier.Change{File: keyFile(id), Removed: true}
 	for n := 0; ; n++ {
-		if err := c.Applier.Refresh(r.Context()); err != nil {
+		files, err := c.Applier.Load(r.Context())
+		if err != nil {
 			return answer{}, err
 		}
-		seen := c.Applier.View().Files.ChangedAt(change.File)
+		seen := files.ChangedAt(change.File)
 		if seen == 0 {
-			return answer{}, c.keyElsewhere(id)
+			return answer{}, keyElsewhere(files, id)
 		}
-		accepted, err := c.Applier.Propose(r.Context(), change, seen)
-		if coder.Is(err, coder.ConfigConflict) && n < withdrawTries {
+		version, err := c.Applier.Propose(r.Context(), change, seen)
+		switch {
+		case coder.Is(err, coder.ConfigConflict) && n < withdrawTries:
 			continue
+		case err != nil:
+			return answer{}, err
 		}
-		return c.accepted(change, accepted, err, nil)
+		return c.accepted(r.Context(), change, version, nil), nil
 	}
 }
 
 // keyElsewhere tells why a key has no file of its own.
-func (c Commander) keyElsewhere(id string) error {
-	for _, s := range c.Applier.View().Result.Settings {
+func keyElsewhere(files applier.Files, id string) error {
+	merged, err := merger.Merge(files.Files())
+	if err != nil {
+		return err
+	}
+	for _, s := range merged.Settings {
 		if s.Section.Kind == "key" && s.Section.Name == id {
 			return coder.Refuse(coder.ConfigFileUnknown, "key %s stands in file %s; change that file", id, s.File)
 		}
--- a/internal/operator/requester/client.go
+++ b/internal/operator/requester/client.go
@@ -91,16 +91,6 @@
 	return decodeStatus(data)
 }
 
-// Forget takes a node out of the roster, on the word of the operator that its
-// process does not run any more.
-func (c Client) Forget(ctx context.Context, id string) (Roster, error) {
-	data, err := c.call(ctx, http.MethodDelete, "/nodes/"+url.PathEscape(id), nil, nil)
-	if err != nil {
-		return Roster{}, err
-	}
-	return decodeRoster(data)
-}
-
 func (c Client) change(ctx context.Context, method, path string, q url.Values, body []byte) (Change, error) {
 	data, err := c.call(ctx, method, path, q, body)
 	if err != nil {
--- a/internal/operator/requester/codec.go
+++ b/internal/operator/requester/codec.go
@@ -51,8 +51,6 @@
 	Version uint64
 	// InForce says that no node answers by an older version.
 	InForce bool
-	// Missing names the roster members that have not applied the change.
-	Missing []string
 }
 
 // Key is a new key of a client account.
@@ -65,37 +63,31 @@
 	Secret string
 }
 
-// Roster lists the nodes that count for a majority.
-type Roster struct {
-	Version uint64
-	Members []string
-}
-
-// Node is what is known of one node.
+// Node is a registered node.
 type Node struct {
 	ID               string
+	DataCentre       string
 	PeersAddress     string
 	OperatorsAddress string
-	DataCentre       string
-	Version          uint64
-	Live             bool
-	Member           bool
-	Fresh            bool
-	// FreshnessAgeMs is how long ago the version was known to be the newest,
-	// -1 if never.
-	FreshnessAgeMs int
-	Draining       bool
-	StoreReachable bool
-	StatedAgeMs    int
+}
+
+// VersionNodes is the number of nodes on which a version is in force.
+type VersionNodes struct {
+	Version uint64
+	Nodes   int
 }
 
 // Status is the system as one node knows it.
 type Status struct {
 	Node    string
 	Version uint64
-	Roster  Roster
-	Nodes   []Node
-	Duties  []string
+	// Current says that the node serves requests with keys, StoreReachable that the
+	// store answers it.
+	Current        bool
+	StoreReachable bool
+	Nodes          []Node
+	Versions       []VersionNodes
+	Duties         []string
 }
 
 // object decodes a JSON object by the given fields and skips others.
@@ -164,7 +156,6 @@
 	return map[string]func(*jx.Decoder) error{
 		"version":  number(&c.Version),
 		"in-force": flag(&c.InForce),
-		"missing":  texts(&c.Missing),
 	}
 }
 
@@ -191,43 +182,24 @@
 
 func decodeStatus(data []byte) (s Status, err error) {
 	err = object(jx.DecodeBytes(data), map[string]func(*jx.Decoder) error{
-		"node":    str(&s.Node),
-		"version": number(&s.Version),
-		"duties":  texts(&s.Duties),
-		"roster": func(d *jx.Decoder) error {
-			return object(d, map[string]func(*jx.Decoder) error{
-				"version": number(&s.Roster.Version), "members": texts(&s.Roster.Members),
-			})
-		},
-		"nodes": list(&s.Nodes, nodeFields),
+		"node":            str(&s.Node),
+		"version":         number(&s.Version),
+		"current":         flag(&s.Current),
+		"store-reachable": flag(&s.StoreReachable),
+		"duties":          texts(&s.Duties),
+		"nodes": list(&s.Nodes, func(n *Node) map[string]func(*jx.Decoder) error {
+			return map[string]func(*jx.Decoder) error{
+				"id": str(&n.ID), "data-centre": str(&n.DataCentre),
+				"peers-address": str(&n.PeersAddress), "operators-address": str(&n.OperatorsAddress),
+			}
+		}),
+		"versions": list(&s.Versions, func(v *VersionNodes) map[string]func(*jx.Decoder) error {
+			return map[string]func(*jx.Decoder) error{"version": number(&v.Version), "nodes": integer(&v.Nodes)}
+		}),
 	})
 	return s, malformed(err)
 }
 
-func nodeFields(n *Node) map[string]func(*jx.Decoder) error {
-	return map[string]func(*jx.Decoder) error{
-		"id":                str(&n.ID),
-		"peers-address":     str(&n.PeersAddress),
-		"operators-address": str(&n.OperatorsAddress),
-		"data-centre":       str(&n.DataCentre),
-		"version":           number(&n.Version),
-		"live":              flag(&n.Live),
-		"member":            flag(&n.Member),
-		"fresh":             flag(&n.Fresh),
-		"freshness-age-ms":  integer(&n.FreshnessAgeMs),
-		"draining":          flag(&n.Draining),
-		"store-reachable":   flag(&n.StoreReachable),
-		"stated-age-ms":     integer(&n.StatedAgeMs),
-	}
-}
-
-func decodeRoster(data []byte) (r Roster, err error) {
-	err = object(jx.DecodeBytes(data), map[string]func(*jx.Decoder) error{
-		"roster": number(&r.Version), "members": texts(&r.Members),
-	})
-	return r, malformed(err)
-}
-
 func decodeFiles(data []byte) (fs Files, err error) {
 	err = object(jx.DecodeBytes(data), map[string]func(*jx.Decoder) error{
 		"version": number(&fs.Version),
--- a/internal/platform/connector/client.go
+++ b/internal/platform/connector/client.go
@@ -22,7 +22,7 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
-	"foxtailflow.example/foxtailflow/internal/usage/counter"
+	"foxtailflow.example/foxtailflow/internal/usage/biller"
 )
 
 // Client is the platform behind a base address such as "http://127.0.0.1:7000".
@@ -45,8 +45,6 @@
 	defaultTimeout = 2 * time.Second
 	// maxAnswer bounds what is read of one answer, in bytes.
 	maxAnswer = 64 << 20
-	// ageHeader carries the age of the VM list in milliseconds.
-	ageHeader = "Platform-List-Age-Ms"
 )
 
 // Get returns a row.
@@ -88,40 +86,25 @@
 	return version, nil
 }
 
-// Store returns the object store.
-func (c Client) Store() transactor.Objects { return objects{c} }
-
-type objects struct{ c Client }
-
-// Put stores an object under a new name.
-func (o objects) Put(ctx context.Context, name string, data []byte) error {
-	_, err := o.c.write(ctx, http.MethodPut, "/objects/"+name, data)
-	return err
+// Read returns all rows whose key has the prefix.
+func (c Client) Read(ctx context.Context, prefix string) (transactor.Changes, error) {
+	return c.changes(ctx, url.Values{"prefix": {prefix}})
 }
 
-// Get returns an object.
-func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
-	return o.c.read(ctx, "/objects/"+name, nil)
-}
-
-// List returns the names with the prefix, in order.
-func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
-	data, err := o.c.read(ctx, "/objects", url.Values{"prefix": {prefix}})
-	if err != nil {
-		return nil, err
-	}
-	return encoder.DecodeNames(data)
+// Watch returns the rows with the prefix that have changed after a version.
+func (c Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (transactor.Changes, error) {
+	c.Timeout = c.timeout() + wait
+	return c.changes(ctx, url.Values{
+		"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()},
+	})
 }
 
-// List returns the VM list and its age.
-func (c Client) List(ctx context.Context) ([]supplier.VM, time.Duration, error) {
-	data, header, err := c.call(ctx, http.MethodGet, "/vms", nil)
+func (c Client) changes(ctx context.Context, q url.Values) (transactor.Changes, error) {
+	data, err := c.read(ctx, "/table/changes", q)
 	if err != nil {
-		return nil, 0, readFailure(err)
+		return transactor.Changes{}, err
 	}
-	ms, _ := strconv.ParseInt(header.Get(ageHeader), 10, 64)
-	vms, err := encoder.DecodeVMs(data)
-	return vms, time.Duration(ms) * time.Millisecond, err
+	return encoder.DecodeChanges(data)
 }
 
 // Order places an order for endpoints.
@@ -136,16 +119,11 @@
 }
 
 // Report sends a closed window.
-func (c Client) Report(ctx context.Context, r counter.UsageReport) error {
-	_, err := c.write(ctx, http.MethodPost, "/usage/reports", counter.EncodeReport(r))
+func (c Client) Report(ctx context.Context, r biller.Report) error {
+	_, err := c.write(ctx, http.MethodPost, "/usage/reports", biller.EncodeReport(r))
 	return err
 }
 
-// Reported reports whether the platform has received the window.
-func (c Client) Reported(ctx context.Context, id string) (bool, error) {
-	return c.exists(ctx, "/usage/reports/"+url.PathEscape(id))
-}
-
 // Fetch returns the size of the named weights once they were read.
 func (c Client) Fetch(ctx context.Context, name string) (int64, error) {
 	data, err := c.read(ctx, "/weights/"+url.PathEscape(name), nil)
@@ -172,7 +150,7 @@
 	if len(q) > 0 {
 		path += "?" + q.Encode()
 	}
-	data, _, err := c.call(ctx, http.MethodGet, path, nil)
+	data, err := c.call(ctx, http.MethodGet, path, nil)
 	return data, readFailure(err)
 }
 
@@ -185,20 +163,22 @@
 }
 
 func (c Client) write(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	data, _, err := c.call(ctx, method, path, body)
-	return data, err
+	return c.call(ctx, method, path, body)
 }
 
-func (c Client) call(ctx context.Context, method, path string, body []byte) ([]byte, http.Header, error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
+func (c Client) timeout() time.Duration {
+	if c.Timeout == 0 {
+		return defaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	return c.Timeout
+}
+
+func (c Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, nil, coder.Wrap(coder.PlatformRefused, err, "malformed platform address").WithOutcome(coder.NotRun)
+		return nil, coder.Wrap(coder.PlatformRefused, err, "malformed platform address").WithOutcome(coder.NotRun)
 	}
 	// Without GetBody the transport repeats no request on its own.
 	req.GetBody = nil
@@ -208,17 +188,17 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, nil, sendFailure(err)
+		return nil, sendFailure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return nil, nil, coder.Wrap(coder.PlatformUnsure, err, "the platform's answer was cut")
+		return nil, coder.Wrap(coder.PlatformUnsure, err, "the platform's answer was cut")
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, nil, encoder.DecodeFailure(data)
+		return nil, encoder.DecodeFailure(data)
 	}
-	return data, resp.Header, nil
+	return data, nil
 }
 
 // sendFailure tells a call that was never sent from one that may have been.
--- a/internal/platform/encoder/failure.go
+++ b/internal/platform/encoder/failure.go
@@ -57,6 +57,8 @@
 		return http.StatusConflict
 	case coder.RowUnknown, coder.ObjectUnknown:
 		return http.StatusNotFound
+	case coder.HistoryGone:
+		return http.StatusGone
 	case coder.PlatformRefused:
 		return http.StatusBadRequest
 	case coder.BudgetSpent:
--- a/internal/platform/encoder/fleet.go
+++ b/internal/platform/encoder/fleet.go
@@ -7,24 +7,26 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 )
 
-// EncodeVMs encodes a VM list.
-func EncodeVMs(vms []supplier.VM) []byte {
+// EncodeVM encodes the entry of a VM.
+func EncodeVM(v supplier.VM) []byte {
 	var e jx.Encoder
-	e.Arr(func(e *jx.Encoder) {
-		for _, v := range vms {
-			e.Obj(func(e *jx.Encoder) {
-				e.Field("id", func(e *jx.Encoder) { e.Str(v.ID) })
-				e.Field("address", func(e *jx.Encoder) { e.Str(v.Address) })
-				e.Field("data-centre", func(e *jx.Encoder) { e.Str(v.DataCentre) })
-				e.Field("deployment", func(e *jx.Encoder) { e.Str(v.Deployment) })
-				e.Field("kind", func(e *jx.Encoder) { e.Str(string(v.Tier)) })
-				e.Field("state", func(e *jx.Encoder) { e.Str(string(v.State)) })
-			})
-		}
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("id", func(e *jx.Encoder) { e.Str(v.ID) })
+		e.Field("address", func(e *jx.Encoder) { e.Str(v.Address) })
+		e.Field("data-centre", func(e *jx.Encoder) { e.Str(v.DataCentre) })
+		e.Field("deployment", func(e *jx.Encoder) { e.Str(v.Deployment) })
+		e.Field("kind", func(e *jx.Encoder) { e.Str(string(v.Tier)) })
+		e.Field("state", func(e *jx.Encoder) { e.Str(string(v.State)) })
 	})
 	return e.Bytes()
 }
 
+// DecodeVM decodes the entry of a VM.
+func DecodeVM(data []byte) (supplier.VM, error) {
+	v, err := decodeVM(jx.DecodeBytes(data))
+	return v, malformed(err)
+}
+
 // DecodeVMs decodes a VM list.
 func DecodeVMs(data []byte) ([]supplier.VM, error) {
 	var vms []supplier.VM
--- a/internal/platform/encoder/table.go
+++ b/internal/platform/encoder/table.go
@@ -6,6 +6,8 @@
 package encoder
 
 import (
+	"time"
+
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
@@ -119,22 +121,64 @@
 // EncodeRows encodes rows.
 func EncodeRows(rows []transactor.Row) []byte {
 	var e jx.Encoder
+	encodeRows(&e, rows)
+	return e.Bytes()
+}
+
+func encodeRows(e *jx.Encoder, rows []transactor.Row) {
 	e.Arr(func(e *jx.Encoder) {
 		for _, r := range rows {
 			e.Obj(func(e *jx.Encoder) {
 				e.Field("key", func(e *jx.Encoder) { e.Str(r.Key) })
 				e.Field("value", func(e *jx.Encoder) { e.Base64(r.Value) })
 				e.Field("version", func(e *jx.Encoder) { e.UInt64(r.Version) })
+				if r.Deleted {
+					e.Field("deleted", func(e *jx.Encoder) { e.Bool(true) })
+				}
 			})
 		}
 	})
+}
+
+// EncodeChanges encodes changes.
+func EncodeChanges(c transactor.Changes) []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
+		e.Field("clock-ms", func(e *jx.Encoder) { e.Int64(c.Clock.Milliseconds()) })
+		e.Field("rows", func(e *jx.Encoder) { encodeRows(e, c.Rows) })
+	})
 	return e.Bytes()
 }
 
+// DecodeChanges decodes changes.
+func DecodeChanges(data []byte) (c transactor.Changes, err error) {
+	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
+		switch name {
+		case "version":
+			c.Version, err = d.UInt64()
+		case "clock-ms":
+			var ms int64
+			ms, err = d.Int64()
+			c.Clock = time.Duration(ms) * time.Millisecond
+		case "rows":
+			c.Rows, err = decodeRows(d)
+		default:
+			err = d.Skip()
+		}
+		return err
+	})
+	return c, malformed(err)
+}
+
 // DecodeRows decodes rows.
 func DecodeRows(data []byte) ([]transactor.Row, error) {
-	var rows []transactor.Row
-	err := jx.DecodeBytes(data).Arr(func(d *jx.Decoder) error {
+	rows, err := decodeRows(jx.DecodeBytes(data))
+	return rows, malformed(err)
+}
+
+func decodeRows(d *jx.Decoder) (rows []transactor.Row, err error) {
+	err = d.Arr(func(d *jx.Decoder) error {
 		var r transactor.Row
 		err := d.Obj(func(d *jx.Decoder, name string) (err error) {
 			switch name {
@@ -144,6 +188,8 @@
 				r.Value, err = decodeBytes(d)
 			case "version":
 				r.Version, err = d.UInt64()
+			case "deleted":
+				r.Deleted, err = d.Bool()
 			default:
 				err = d.Skip()
 			}
@@ -152,7 +198,7 @@
 		rows = append(rows, r)
 		return err
 	})
-	return rows, malformed(err)
+	return rows, err
 }
 
 // EncodeVersion encodes the version that a commit returned.
@@ -176,13 +222,6 @@
 	return version, malformed(err)
 }
 
-// EncodeNames encodes a list of names.
-func EncodeNames(names []string) []byte {
-	var e jx.Encoder
-	encodeNames(&e, names)
-	return e.Bytes()
-}
-
 func encodeNames(e *jx.Encoder, names []string) {
 	e.Arr(func(e *jx.Encoder) {
 		for _, n := range names {
@@ -191,12 +230,6 @@
 	})
 }
 
-// DecodeNames decodes a list of names.
-func DecodeNames(data []byte) ([]string, error) {
-	names, err := decodeNames(jx.DecodeBytes(data))
-	return names, malformed(err)
-}
-
 func decodeNames(d *jx.Decoder) (names []string, err error) {
 	err = d.Arr(func(d *jx.Decoder) error {
 		n, err := d.Str()
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -27,7 +27,7 @@
 	"foxtailflow.example/foxtailflow/internal/request/claimer"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
 	"foxtailflow.example/foxtailflow/internal/request/retrier"
-	"foxtailflow.example/foxtailflow/internal/usage/counter"
+	"foxtailflow.example/foxtailflow/internal/usage/biller"
 )
 
 // Configs tells the configuration in force.
@@ -87,7 +87,7 @@
 // Usage counts what answers have used.
 type Usage interface {
 	// Count adds the figures of one answer.
-	Count(f counter.Figures)
+	Count(f biller.Figures)
 }
 
 // Engines tells engines what a request no longer needs.
@@ -206,7 +206,7 @@
 // or one by which a plain service refused. A caller that left is billed if the
 // engine had already given its figures.
 func (d *Dispatcher) count(r carrier.Request, result carrier.Result) {
-	f := counter.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
+	f := biller.Figures{Account: r.Account, Model: r.Route.Model, Requests: 1}
 	switch {
 	case result.Replayed, d.Usage == nil:
 		return
--- a/internal/store/transactor/table.go
+++ b/internal/store/transactor/table.go
@@ -1,9 +1,7 @@
-// Package transactor describes what the platform offers to the system.
+// Package transactor describes the store of a platform.
 //
-// The platform keeps everything that must last: a transactional table and an
-// object store. It also takes orders for endpoints, takes usage reports, lists
-// VMs with a lag, and serves model weights at a limited rate. The interfaces
-// are small, so that a test can put a fake in the place of each.
+// Everything that must last is in its transactional table. The interfaces are
+// small, so that a test can put a fake in the place of each.
 //
 // A call that fails with the code PlatformUnsure may have taken effect; the
 // caller reads back before it does anything else. PlatformUnavailable means
@@ -113,16 +111,6 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 }
 
-// Objects is the object store.
-type Objects interface {
-	// Put stores an object under a new name; ObjectExists if the name is taken.
-	Put(ctx context.Context, name string, data []byte) error
-	// Get returns an object; ObjectUnknown if there is none.
-	Get(ctx context.Context, name string) ([]byte, error)
-	// List returns the names with the prefix, in order.
-	List(ctx context.Context, prefix string) ([]string, error)
-}
-
 // ScanAll returns all rows with the prefix, page by page.
 func ScanAll(ctx context.Context, t Table, prefix string) ([]Row, error) {
 	const page = 500
--- a/internal/usage/counter/codec.go
+++ b/internal/usage/biller/codec.go
@@ -1,9 +1,9 @@
-package counter
+package biller
 
 import "github.com/go-faster/jx"
 
-// EncodeFigures encodes billed quantities as an array.
-func EncodeFigures(e *jx.Encoder, figures []Figures) {
+// encodeFigures encodes figures as an array.
+func encodeFigures(e *jx.Encoder, figures []Figures) {
 	e.Arr(func(e *jx.Encoder) {
 		for _, f := range figures {
 			e.Obj(func(e *jx.Encoder) {
@@ -17,8 +17,8 @@
 	})
 }
 
-// DecodeFigures decodes an array of billed quantities.
-func DecodeFigures(d *jx.Decoder) (figures []Figures, err error) {
+// decodeFigures decodes an array of figures.
+func decodeFigures(d *jx.Decoder) (figures []Figures, err error) {
 	err = d.Arr(func(d *jx.Decoder) error {
 		f, err := decodeFigure(d)
 		figures = append(figures, f)
--- a/internal/usage/counter/report.go
+++ b/internal/usage/biller/report.go
@@ -1,43 +1,33 @@
-package counter
+package biller
 
 import (
-	"context"
-
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 )
 
-// UsageReport is the closed usage of one window.
-type UsageReport struct {
+// Report is the usage of one window.
+type Report struct {
 	// ID names the window; repeats of an ID must carry the same figures.
 	ID           string
 	FencingToken uint64
 	Figures      []Figures
 }
 
-// Reports takes usage reports.
-type Reports interface {
-	// Report sends a closed window.
-	Report(ctx context.Context, r UsageReport) error
-	// Reported reports whether the window was received.
-	Reported(ctx context.Context, id string) (bool, error)
-}
-
 // EncodeReport encodes a usage report.
-func EncodeReport(r UsageReport) []byte {
+func EncodeReport(r Report) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("report-id", func(e *jx.Encoder) { e.Str(r.ID) })
 		e.Field("fencing-token", func(e *jx.Encoder) { e.UInt64(r.FencingToken) })
-		e.Field("figures", func(e *jx.Encoder) { EncodeFigures(e, r.Figures) })
+		e.Field("figures", func(e *jx.Encoder) { encodeFigures(e, r.Figures) })
 	})
 	return e.Bytes()
 }
 
 // DecodeReport decodes a usage report.
-func DecodeReport(data []byte) (UsageReport, error) {
-	var r UsageReport
+func DecodeReport(data []byte) (Report, error) {
+	var r Report
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "report-id":
@@ -45,7 +35,7 @@
 		case "fencing-token":
 			r.FencingToken, err = d.UInt64()
 		case "figures":
-			r.Figures, err = DecodeFigures(d)
+			r.Figures, err = decodeFigures(d)
 		default:
 			err = d.Skip()
 		}
--- a/internal/usage/closer/closer.go
+++ b/internal/usage/closer/closer.go
@@ -13,11 +13,13 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
@@ -44,9 +46,9 @@
 
 // Settings are the times of windows.
 type Settings struct {
-	// Window is the length of a window; window k begins k windows after the
+	// Window returns the length of a window; window k begins k windows after the
 	// start of 1970.
-	Window time.Duration
+	Window func() time.Duration
 	// Settle is how long after its end the counts of a window have arrived.
 	Settle time.Duration
 	// Late is how long after its end a window can be reported.
@@ -69,11 +71,12 @@
 	// Now returns the true time.
 	Now func() time.Time
 
+	// mu is held by Run and Leave, which may be called at the same time.
+	mu   sync.Mutex
 	held tenure
 }
 
-// tenure is what the holder knows since it took the duty over; Run alone uses
-// it.
+// tenure is what the holder knows since it took the duty over.
 type tenure struct {
 	epoch uint64
 	// closed has the figures of the windows that are written down, reported
@@ -83,16 +86,20 @@
 	saved    time.Time
 	// pieces is the number of rows that the counts of open windows take up.
 	pieces int
+	// head is the newest window that was closed; older ones are not closed any more.
+	head int64
 }
 
 // WindowAt returns the window of a time.
-func (s Settings) WindowAt(t time.Time) int64 { return t.UnixNano() / int64(s.Window) }
+func (s Settings) WindowAt(t time.Time) int64 { return t.UnixNano() / int64(s.Window()) }
 
 // end returns the end of a window.
-func (s Settings) end(window int64) time.Time { return time.Unix(0, (window+1)*int64(s.Window)) }
+func (s Settings) end(window int64) time.Time { return time.Unix(0, (window+1)*int64(s.Window())) }
 
 // Run does what is due if this node holds the duty; a task repeats it.
 func (c *Closer) Run(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.Now()
 	c.Ledger.Forget(c.Settings.WindowAt(now.Add(-2 * c.Settings.Late)))
 	g, ok := c.Leases.Grant(Duty)
@@ -124,9 +131,15 @@
 	return unsaved
 }
 
-// windows returns the windows that have counts or figures, in order.
+// windows returns the windows that have figures, or counts and are not older than
+// one that was closed, in order.
 func (c *Closer) windows() []int64 {
-	windows := append(c.Ledger.Windows(), slices.Collect(maps.Keys(c.held.closed))...)
+	windows := slices.Collect(maps.Keys(c.held.closed))
+	for _, window := range c.Ledger.Windows() {
+		if window > c.held.head {
+			windows = append(windows, window)
+		}
+	}
 	slices.Sort(windows)
 	return slices.Compact(windows)
 }
@@ -145,6 +158,9 @@
 		}
 		t.closed[window] = counts
 	}
+	if t.head, err = c.loadHead(ctx); err != nil {
+		return err
+	}
 	rows, err = transactor.ScanAll(ctx, c.Table, openPrefix)
 	if err != nil {
 		return err
@@ -167,15 +183,43 @@
 	return nil
 }
 
-// save writes the counts of the windows that are not closed yet.
+// loadHead returns the newest window that was closed.
+func (c *Closer) loadHead(ctx context.Context) (int64, error) {
+	row, err := c.Table.Get(ctx, headKey)
+	if coder.Is(err, coder.RowUnknown) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return decodeHead(row.Value)
+}
+
+// Leave writes the counts of the windows that are not closed yet, if this node
+// holds the duty, so that the next holder has them.
+func (c *Closer) Leave(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g, ok := c.Leases.Grant(Duty)
+	if !ok || c.held.epoch != g.Epoch {
+		return nil
+	}
+	return c.write(ctx, g)
+}
+
+// save writes the counts of the windows that are not closed yet, if that is due.
 func (c *Closer) save(ctx context.Context, g leaser.Grant) error {
-	now := c.Clock.Now()
-	if now.Sub(c.held.saved) < c.Settings.SaveEvery {
+	if c.Clock.Now().Sub(c.held.saved) < c.Settings.SaveEvery {
 		return nil
 	}
+	return c.write(ctx, g)
+}
+
+func (c *Closer) write(ctx context.Context, g leaser.Grant) error {
+	now := c.Clock.Now()
 	var s open
 	for _, window := range c.Ledger.Windows() {
-		if c.held.closed[window] == nil {
+		if window > c.held.head {
 			s.counts = append(s.counts, c.Ledger.Window(window)...)
 		}
 	}
@@ -205,13 +249,13 @@
 	if !ok {
 		counts = c.Ledger.Total(window)
 		key := windowKey(window)
-		_, err := c.Table.Commit(ctx, g.Guard(transactor.Tx{}.WithAbsent(key).WithPut(key, encodeWindow(counts))))
+		_, err := c.Table.Commit(ctx, g.Guard(transactor.Tx{}.WithAbsent(key).WithPut(key, encodeWindow(counts)).WithPut(headKey, encodeHead(window))))
 		if err != nil {
 			// It may have taken effect: what stands is read before the next try.
 			c.held = tenure{}
 			return err
 		}
-		c.held.closed[window] = counts
+		c.held.closed[window], c.held.head = counts, window
 	}
 	if err := c.Reports.ReportUsage(ctx, g, window, counts); err != nil {
 		return err
@@ -234,20 +278,25 @@
 
 // drop removes the figures of a window that nobody reports any more.
 func (c *Closer) drop(ctx context.Context, g leaser.Grant, newest int64) error {
-	tx, n := transactor.Tx{}, 0
+	tx := transactor.Tx{}
+	var old []int64
 	for window := range c.held.closed {
-		if window <= newest-keepWindows && n < maxDrops {
+		if window <= newest-keepWindows && len(old) < maxDrops {
 			tx = tx.WithDelete(windowKey(window))
-			delete(c.held.closed, window)
-			delete(c.held.reported, window)
-			n++
+			old = append(old, window)
 		}
 	}
-	if n < maxDrops/2 {
+	if len(old) < maxDrops/2 {
 		return nil
 	}
-	_, err := c.Table.Commit(ctx, g.Guard(tx))
-	return err
+	if _, err := c.Table.Commit(ctx, g.Guard(tx)); err != nil {
+		return err
+	}
+	for _, window := range old {
+		delete(c.held.closed, window)
+		delete(c.held.reported, window)
+	}
+	return nil
 }
 
 // maxDrops bounds the rows that one commit removes.
--- a/internal/usage/closer/rows.go
+++ b/internal/usage/closer/rows.go
@@ -16,8 +16,17 @@
 const (
 	windowPrefix = "usage-window/"
 	openPrefix   = "usage-open/"
+	// headKey is the row with the newest closed window.
+	headKey = "usage-head"
 )
 
+func encodeHead(window int64) []byte { return strconv.AppendInt(nil, window, 10) }
+
+func decodeHead(data []byte) (int64, error) {
+	window, err := strconv.ParseInt(string(data), 10, 64)
+	return window, malformed(err)
+}
+
 func openKey(piece int) string { return openPrefix + strconv.Itoa(piece) }
 
 func windowKey(window int64) string { return windowPrefix + strconv.FormatInt(window, 10) }
