closer: the row of the newest closed window has a table and a key

Cause: its key had no slash, which the adapter maps to a row without a key; the platform refuses such a transaction, so that no window was closed. The stand-in of the store took rows without a key. It refuses them now, and TestNodes fails without the change (no window reported).

--- a/internal/usage/closer/rows.go
+++ b/internal/usage/closer/rows.go
@@ -17,7 +17,7 @@
 	windowPrefix = "usage-window/"
 	openPrefix   = "usage-open/"
 	// headKey is the row with the newest closed window.
-	headKey = "usage-head"
+	headKey = "usage-head/newest"
 )
 
 func encodeHead(window int64) []byte { return strconv.AppendInt(nil, window, 10) }
