--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -169,7 +169,7 @@
 	if n.settings.UsageWindow > 0 {
 		return n.settings.UsageWindow
 	}
-	return n.limits().UsageWindow
+	return n.Limits().UsageWindow
 }
 
 // window returns the present window of usage.
--- a/internal/node/composer/standing.go
+++ b/internal/node/composer/standing.go
@@ -4,13 +4,9 @@
 	"context"
 	"time"
 
-	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
-	"foxtailflow.example/foxtailflow/internal/config/definer"
-	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
-	"foxtailflow.example/foxtailflow/internal/store/follower"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
@@ -41,12 +37,6 @@
 	return h.work
 }
 
-// Nodes returns the nodes that are registered.
-func (n *Node) Nodes() []registrar.Node { return n.members.registrar.Nodes() }
-
-// NodeCount returns the number of nodes that may run.
-func (n *Node) NodeCount() int { return n.members.collector.Count() }
-
 // Away reports whether the store does not answer this node.
 func (n *Node) Away() bool { return n.configs.Snapshot().Away() }
 
@@ -180,38 +170,3 @@
 		}
 	}
 }
-
-// Rows returns the rows of the configuration.
-func (n *Node) Rows() follower.Snapshot { return n.configs.Snapshot() }
-
-// Name returns the identifier of the node.
-func (n *Node) Name() string { return n.settings.ID }
-
-// Leases returns the duties of this node.
-func (n *Node) Leases() *leaser.Leaser { return n.duties.leaser }
-
-// Observer returns the table of endpoints.
-func (n *Node) Observer() *observer.Observer { return n.observer }
-
-// Limits returns the limits in force, or the default before the first.
-func (n *Node) Limits() definer.Limits { return n.limits() }
-
-// Meter adds to meters of the present window.
-func (n *Node) Meter(counts map[courier.Meter]int) {
-	window := n.window()
-	for m, c := range counts {
-		n.duties.ledger.Count(window, m, c)
-	}
-}
-
-// OperatorsAddress returns the address at which operators are served, empty where
-// they are not.
-func (n *Node) OperatorsAddress() string {
-	if n.operators == nil {
-		return ""
-	}
-	return n.operators.Addr().String()
-}
-
-// CallersAddress returns the address at which callers are served.
-func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
--- a/internal/node/composer/stop.go
+++ b/internal/node/composer/stop.go
@@ -22,7 +22,7 @@
 	n.log.Info().Msg("node drains")
 	left := max(n.settings.Stop-stateWait-2*leaveLimit, 0)
 	if n.settings.Stop == 0 {
-		left = n.settings.LeaveWait + n.limits().DrainWait
+		left = n.settings.LeaveWait + n.Limits().DrainWait
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
