locator: a table's sources are asked in turn, and never the node itself

A node asked its own address, which its seeds name as well, and waited 1.2 s for the answer; and the three followers of a node shared one turn, so that with three seeds each failure led back to the same node.

The choice of the source is a package of its own now, with a turn for each table. Its scripts fail on the old choice: it returned the node's own address, and the second table began where the first had stopped.

--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -53,8 +53,6 @@
 	duties    duties
 	parts     Parts
 	stopping  atomic.Bool
-	// turn counts the nodes that have failed as sources of tables.
-	turn atomic.Uint64
 
 	callers   *acceptor.Acceptor
 	operators net.Listener
@@ -99,18 +97,6 @@
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, ports: p, clock: clock, log: log}
 	n.config.Rank = keeper.RankConfig
-	n.configs = n.follow(p.Config.Prefix, configWait, n.applyConfig)
-	n.endpoints = n.follow(p.EndpointPrefix, listWait, n.applyEndpoints)
-	n.endpoints.Gap = listGap
-	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, Lapse: s.Lapse}
-	n.observer = &observer.Observer{
-		Clock: clock,
-		Log:   log,
-		VMs:   n.lister,
-		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
-	}
-	n.index = &indexer.Index{}
-	n.observer.OnGone = n.index.Forget
 	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
 		return nil, err
@@ -121,9 +107,22 @@
 			return nil, err
 		}
 	}
-	if err := n.buildMembers(); err != nil {
+	if err := n.listenPeers(); err != nil {
 		return nil, err
 	}
+	n.configs = n.follow(p.Config.Prefix, configWait, n.applyConfig)
+	n.endpoints = n.follow(p.EndpointPrefix, listWait, n.applyEndpoints)
+	n.endpoints.Gap = listGap
+	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, Lapse: s.Lapse}
+	n.observer = &observer.Observer{
+		Clock: clock,
+		Log:   log,
+		VMs:   n.lister,
+		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
+	}
+	n.index = &indexer.Index{}
+	n.observer.OnGone = n.index.Forget
+	n.buildMembers()
 	n.buildDuties()
 	n.members.collector.Usage = n.duties.ledger
 	if p.Extend != nil {
@@ -156,7 +155,7 @@
 	return &follower.Follower{
 		OnClock: n.readClock,
 		OnBack:  n.hurry,
-		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Pulse: &n.pulse, Relay: relay{n},
+		Clock:   n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Pulse: &n.pulse, Relay: n.relay(),
 		Wait: wait, Refresh: refreshEvery, Retry: watchRetry, OnChange: apply,
 	}
 }
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -18,6 +18,7 @@
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 	"foxtailflow.example/foxtailflow/internal/member/collector"
+	"foxtailflow.example/foxtailflow/internal/member/locator"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
 )
@@ -46,7 +47,9 @@
 // registerEvery is how often a node looks whether its row stands.
 const registerEvery = time.Second
 
-func (n *Node) buildMembers() error {
+// listenPeers opens the listener for other nodes, whose address is in the row of
+// this one.
+func (n *Node) listenPeers() error {
 	l, err := acceptor.Listen(n.settings.PeersListen)
 	if err != nil {
 		return err
@@ -54,20 +57,24 @@
 	if n.settings.PeersAdvertise == "" || n.settings.PeersAdvertise == n.settings.PeersListen {
 		n.settings.PeersAdvertise = l.Addr().String()
 	}
-	self := registrar.Node{
-		ID:          n.settings.ID,
-		Address:     n.settings.PeersAdvertise,
-		Operators:   n.OperatorsAddress(),
-		DataCentre:  n.settings.DataCentre,
-		Incarnation: uint64(n.clock.Now().UnixNano()),
+	n.members.listener = l
+	n.members.registrar = &registrar.Registrar{
+		Log: n.log, Table: n.ports.Table,
+		Self: registrar.Node{
+			ID:          n.settings.ID,
+			Address:     n.settings.PeersAdvertise,
+			Operators:   n.OperatorsAddress(),
+			DataCentre:  n.settings.DataCentre,
+			Incarnation: uint64(n.clock.Now().UnixNano()),
+		},
+		Offset: func() (time.Duration, bool) { return n.duties.dater.Own() },
 	}
+	return nil
+}
+
+func (n *Node) buildMembers() {
 	m := &n.members
-	m.listener = l
 	m.links = &courier.Links{Connections: dialer.Connections{Dial: n.ports.Dial}}
-	m.registrar = &registrar.Registrar{
-		Log: n.log, Table: n.ports.Table, Self: self,
-		Offset: func() (time.Duration, bool) { return n.duties.dater.Own() },
-	}
 	m.work = work{
 		observer: n.observer,
 		index:    n.index,
@@ -81,14 +88,13 @@
 	m.collector = &collector.Collector{
 		Clock: n.clock,
 		Log:   n.log,
-		Self:  self,
+		Self:  m.registrar.Self,
 		Nodes: m.registrar,
 		Links: streams{m.links},
 		Work:  m.work,
 	}
 	m.nodes = n.follow(registrar.Prefix, listWait, n.applyNodes)
 	m.server = courier.NewServer(peers{n})
-	return nil
 }
 
 // applyNodes takes the rows of the nodes.
@@ -226,55 +232,24 @@
 	return coder.New(coder.RowUnknown, "there is no table %s", prefix)
 }
 
-// relay takes tables from the hub of the data centre, or from another node
-// while the store does not answer this one.
-type relay struct{ node *Node }
-
-// Source returns the address of the node to take tables from.
-func (r relay) Source(away bool) string {
-	m := &r.node.members
-	if hub := m.collector.Hub(); hub != "" && hub != r.node.settings.ID {
-		for _, n := range m.registrar.Of(r.node.settings.DataCentre) {
-			if n.ID == hub {
-				return n.Address
-			}
-		}
-	}
-	if !away {
-		return ""
-	}
-	return r.other()
+// relay takes a table from the hub of the data centre, or from another node while
+// the store does not answer this one.
+type relay struct {
+	*locator.Locator
+	node *Node
 }
 
-// other returns the address of a node of another data centre, the first of each
-// before the others, as that is probably its hub; before any is known, that of a
-// seed. Another one is returned after each failure.
-func (r relay) other() string {
-	m := &r.node.members
-	var addresses, rest []string
-	for _, name := range m.registrar.DataCentres() {
-		for i, n := range m.registrar.Of(name) {
-			switch {
-			case n.ID == r.node.settings.ID:
-			case i == 0 && name != r.node.settings.DataCentre:
-				addresses = append(addresses, n.Address)
-			default:
-				rest = append(rest, n.Address)
-			}
-		}
-	}
-	if addresses = append(addresses, rest...); len(addresses) == 0 {
-		addresses = r.node.settings.Seeds
-	}
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[r.node.turn.Load()%uint64(len(addresses))]
+// relay returns what a follower takes its table from in place of the store.
+func (n *Node) relay() relay {
+	m := &n.members
+	return relay{node: n, Locator: &locator.Locator{
+		Self:  m.registrar.Self,
+		Nodes: m.registrar.Nodes,
+		Hub:   func() string { return m.collector.Hub() },
+		Seeds: n.settings.Seeds,
+	}}
 }
 
-// Failed has another node returned next.
-func (r relay) Failed(string) { r.node.turn.Add(1) }
-
 // Follow takes content from a node.
 func (r relay) Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.Content)) error {
 	return r.node.members.links.Follow(ctx, address, prefix, changed, take)
