--- a/internal/member/locator/locator.go
+++ b/internal/member/locator/locator.go
@@ -66,7 +66,7 @@
 			rest = append(rest, n.Address)
 		}
 	}
-	if addresses := append(first, rest...); len(addresses) > 0 {
+	if addresses := slices.Concat(first, rest); len(addresses) > 0 {
 		return addresses
 	}
 	return slices.DeleteFunc(slices.Clone(l.Seeds), func(a string) bool { return a == l.Self.Address })
