explainer, chooser, follower: a choice logs the version, age and source of its list

When a request reached an endpoint that was leaving, no line said how old the node's list of endpoints was, which version of it the choice was made from and whether it came from the store or from another node.

The routing line has list-version, list-age-ms and list-source, explain prints them, and the metrics page has a histogram endpoint-list-age-ms. The line on a source that is dropped has the age of the content.

--- a/internal/decision/explainer/bench_test.go
+++ b/internal/decision/explainer/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -19,6 +20,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		explainer.LogRouting(log, "req-0f", "baden", "wichse-llm", c)
+		explainer.LogRouting(log, "req-0f", "baden", "wichse-llm", c, explainer.ListState{Version: 1 << 20, Age: time.Second, Source: "10.0.0.2:70"})
 	}
 }
--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -47,6 +47,9 @@
 	FieldAttempt         = "attempt"
 	FieldAttempts        = "attempts"
 	FieldConfigVersion   = "config-version"
+	FieldListVersion     = "list-version"
+	FieldListAge         = "list-age-ms"
+	FieldListSource      = "list-source"
 )
 
 // The kinds of decision.
@@ -60,8 +63,27 @@
 	Fleet          = "fleet"
 )
 
+// ListState describes the list of endpoints from which a choice is made.
+type ListState struct {
+	// Version is the version of the newest entry, Age the time since the store
+	// confirmed the list.
+	Version uint64
+	Age     time.Duration
+	// Source is the address of the node that has sent the list, or "" for the store.
+	Source string
+}
+
+// add adds the state of the list to a line.
+func (l ListState) add(line *zerolog.Event) *zerolog.Event {
+	line = line.Uint64(FieldListVersion, l.Version).Int64(FieldListAge, l.Age.Milliseconds())
+	if l.Source != "" {
+		line = line.Str(FieldListSource, l.Source)
+	}
+	return line
+}
+
 // LogRouting logs the choice of an endpoint.
-func LogRouting(log zerolog.Logger, requestID, account, deployment string, c picker.Choice) {
+func LogRouting(log zerolog.Logger, requestID, account, deployment string, c picker.Choice, l ListState) {
 	line := log.Info()
 	if !line.Enabled() {
 		return
@@ -76,14 +98,15 @@
 	if c.OK {
 		chosen, reason = c.Endpoint.ID, c.Reason
 	}
-	line.Str(FieldDecision, Routing).Str(FieldRequest, requestID).Str(FieldAccount, account).
+	line = line.Str(FieldDecision, Routing).Str(FieldRequest, requestID).Str(FieldAccount, account).
 		Str(FieldDeployment, deployment).Str(FieldChosen, chosen).Str(FieldReason, reason).
-		Array(FieldRejected, rejected).Msg("endpoint chosen")
+		Array(FieldRejected, rejected)
+	l.add(line).Msg("endpoint chosen")
 }
 
 // LogPlan logs the choice of the engines that prefill a prompt and decode the
 // response.
-func LogPlan(log zerolog.Logger, requestID, account, deployment string, p picker.Plan) {
+func LogPlan(log zerolog.Logger, requestID, account, deployment string, p picker.Plan, l ListState) {
 	line := log.Info()
 	if !line.Enabled() {
 		return
@@ -103,7 +126,7 @@
 	if p.FetchFrom != "" {
 		line = line.Str(FieldFetchFrom, p.FetchFrom)
 	}
-	line.Msg("endpoint chosen")
+	l.add(line).Msg("endpoint chosen")
 }
 
 func basisDict(b picker.Basis) *zerolog.Event {
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -24,13 +24,13 @@
 		OK: true, Endpoint: picker.Endpoint{ID: "engine-1"}, Reason: "less loaded of two",
 		Rejected: []picker.Rejected{{Endpoint: "engine-2", Reason: picker.ReasonTried}},
 		Excluded: []picker.Rejected{{Endpoint: "engine:3", Reason: picker.ReasonLeaving}},
-	})
-	explainer.LogRouting(log, "req-1", "baden", "wichse-llm", picker.Choice{})
+	}, explainer.ListState{Version: 41, Age: 120 * time.Millisecond})
+	explainer.LogRouting(log, "req-1", "baden", "wichse-llm", picker.Choice{}, explainer.ListState{})
 	explainer.LogPlan(log, "req-3", "baden", "wichse-llm", picker.Plan{
 		Run:       picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: "engine-1"}, Reason: "answers", Basis: picker.Basis{InFlight: 3, RemoteLoadAge: 40 * time.Millisecond}},
 		Prefill:   picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: "engine-2"}, Reason: "lowest cost", Basis: picker.Basis{CachedTokens: 900, QueuedTokens: 500, RemoteLoadAge: -1}},
 		FetchFrom: "10.0.0.9:80",
-	})
+	}, explainer.ListState{Version: 42, Age: 700 * time.Millisecond, Source: "10.0.0.2:70"})
 	explainer.LogPrefillFailure(log, "req-3", "engine-2", coder.New(coder.ConnectionLost, "connection reset"))
 	explainer.LogAttempt(log, "req-3", "engine-1", 1, coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"))
 	explainer.LogEnd(log, explainer.RequestEnd{
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -34,11 +34,13 @@
 	// PrefillReason is why that engine prefills the prompt.
 	PrefillReason string
 	FetchFrom     string
-	Endpoint      string
-	Outcome       string
-	Cause         string
-	Route         string
-	Status        int
+	// ListSource is the address of the node that has sent the list of endpoints.
+	ListSource string
+	Endpoint   string
+	Outcome    string
+	Cause      string
+	Route      string
+	Status     int
 	// OtherFigures are the figures of the other fields.
 	OtherFigures []string
 }
@@ -126,6 +128,9 @@
 		if l.FetchFrom != "" {
 			_, _ = fmt.Fprintf(&b, "  copies the prompt prefix from %s\n", l.FetchFrom)
 		}
+		if l.ListSource != "" {
+			_, _ = fmt.Fprintf(&b, "  follows the list of endpoints through the node at %s\n", l.ListSource)
+		}
 	case len(l.Orders) == 0:
 		_, _ = fmt.Fprintf(&b, "  no order: %s\n", l.Reason)
 	default:
@@ -166,7 +171,8 @@
 		"time": &l.Time, "node": &l.Node, FieldDecision: &l.Decision, FieldRequest: &l.Request,
 		FieldAccount: &l.Account, FieldDeployment: &l.Deployment, FieldChosen: &l.Chosen,
 		FieldReason: &l.Reason, FieldRetryAfter: &l.RetryAfter, FieldPrefillEngine: &l.PrefillEngine, FieldPrefillReason: &l.PrefillReason, FieldFetchFrom: &l.FetchFrom,
-		FieldEndpoint: &l.Endpoint, FieldOutcome: &l.Outcome, FieldCause: &l.Cause, FieldRoute: &l.Route,
+		FieldListSource: &l.ListSource,
+		FieldEndpoint:   &l.Endpoint, FieldOutcome: &l.Outcome, FieldCause: &l.Cause, FieldRoute: &l.Route,
 	}
 	numbers := map[string]*int{FieldCode: &l.Code, FieldStatus: &l.Status}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
@@ -200,7 +206,7 @@
 		for i := range figures {
 			figures[i] = name + " " + figures[i]
 		}
-	case FieldPrefillTime, FieldFirstOutputTime, FieldDuration, FieldAttempt, FieldAttempts, FieldConfigVersion:
+	case FieldPrefillTime, FieldFirstOutputTime, FieldDuration, FieldAttempt, FieldAttempts, FieldConfigVersion, FieldListVersion, FieldListAge:
 		if d.Next() != jx.Number {
 			return d.Skip()
 		}
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -23,6 +23,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/lister"
@@ -243,6 +244,7 @@
 		Chooser: chooser.Chooser{
 			Clock: n.clock, Log: n.ports.RequestLog, DataCentre: n.settings.DataCentre,
 			Observer: n.observer, Index: n.index, NotifyPrefixes: n.recordPrefixes, Limits: n.Limits, Config: n.Config,
+			ListState: n.listState,
 		},
 		Endpoints: n.observer,
 		Forwarder: forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect},
@@ -263,6 +265,12 @@
 	return n.dispatcher.Do(ctx, r, w)
 }
 
+// listState returns the version, age and source of the endpoints' entries.
+func (n *Node) listState() explainer.ListState {
+	s := n.endpoints.Snapshot()
+	return explainer.ListState{Version: s.ChangedVersion, Age: n.clock.Now().Sub(s.ConfirmedAt), Source: s.Source}
+}
+
 // recordPrefixes reports to the other nodes that an engine prefills the prefixes
 // with the given keys.
 func (n *Node) recordPrefixes(engine string, keys []uint64) {
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"foxtailflow.example/foxtailflow/internal/base/recorder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/explainer"
@@ -29,6 +30,9 @@
 	// Limits returns the limits in force, Config the configuration.
 	Limits func() definer.Limits
 	Config func() (definer.Config, error)
+	// ListState describes the list of endpoints for the log; nil means that nothing is
+	// known of it.
+	ListState func() explainer.ListState
 	// NotifyPrefixes is called with the keys of the prefixes that an engine
 	// works on; it may be nil.
 	NotifyPrefixes func(engine string, keys []uint64)
@@ -74,10 +78,23 @@
 	if choice.OK && len(prefix) > 0 {
 		c.Index.Store(choice.Endpoint.ID, prefix)
 	}
-	explainer.LogRouting(c.Log, r.ID, r.Account, r.Route.Deployment, choice)
+	explainer.LogRouting(c.Log, r.ID, r.Account, r.Route.Deployment, choice, c.listState())
 	return picker.Plan{Run: choice}
 }
 
+// listAges are the ages of the lists of endpoints from which choices are made.
+var listAges = recorder.Publish("endpoint-list-age-ms")
+
+// listState returns the state of the list of endpoints and records its age.
+func (c Chooser) listState() explainer.ListState {
+	if c.ListState == nil {
+		return explainer.ListState{}
+	}
+	l := c.ListState()
+	listAges.Record(l.Age)
+	return l
+}
+
 func (c Chooser) pick(req picker.Requirements, deployment string) picker.Choice {
 	var p picker.Picker[picker.PrefixAffinity[picker.TwoChoices]]
 	choice := p.Pick(req, c.Observer.View(deployment))
--- a/internal/request/chooser/place.go
+++ b/internal/request/chooser/place.go
@@ -50,7 +50,7 @@
 			c.notifyPeers(choice.Endpoint.ID, chain, tokens)
 		}
 	}
-	explainer.LogPlan(c.Log, r.ID, r.Account, r.Route.Deployment, plan)
+	explainer.LogPlan(c.Log, r.ID, r.Account, r.Route.Deployment, plan, c.listState())
 	return plan
 }
 
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -35,6 +35,9 @@
 	rows           map[string]transactor.Row
 	// ConfirmedAt is when the store last confirmed the content.
 	ConfirmedAt time.Time
+	// Source is the address of the node through which the content was last confirmed,
+	// or "" for the store itself.
+	Source string
 	// RequestedAt is when the last request was sent to which the store responded;
 	// content of other nodes does not change it.
 	RequestedAt time.Time
@@ -263,6 +266,7 @@
 	f.update(func(s Snapshot) Snapshot {
 		unavailable := s.Unavailable()
 		s = s.withConfirmed(now, now)
+		s.Source = ""
 		s.RequestedAt = asked
 		if unavailable {
 			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.UnavailableSince)).Msg("store available again")
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -76,11 +76,11 @@
 				return
 			case c.Age > maxSourceAge:
 				// It may still be newer than this node's content.
-				f.applyContent(c)
+				f.applyContent(address, c)
 				f.dropSource(address, "content too old", nil)
 				return
 			}
-			f.applyContent(c)
+			f.applyContent(address, c)
 			if f.source() != address || f.probeDue() {
 				return
 			}
@@ -95,8 +95,9 @@
 
 // dropSource records that a source has failed; the store is asked next.
 func (f *Follower) dropSource(address, reason string, err error) {
-	f.Log.Info().Str("table", f.Prefix).Str("address", address).Str("reason", reason).AnErr("cause", err).Msg("source dropped")
 	now := f.Clock.Now()
+	f.Log.Info().Str("table", f.Prefix).Str("address", address).Str("reason", reason).AnErr("cause", err).
+		Dur("age-ms", now.Sub(f.snapshot.Get().ConfirmedAt)).Msg("source dropped")
 	maps.DeleteFunc(f.avoidUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	if f.avoidUntil == nil {
 		f.avoidUntil = make(map[string]time.Time)
@@ -105,11 +106,13 @@
 	f.Relay.MarkFailed(address)
 }
 
-// applyContent updates the snapshot by the content that another node has sent.
-func (f *Follower) applyContent(c courier.TableContent) {
+// applyContent updates the snapshot by the content that the node at an address has
+// sent.
+func (f *Follower) applyContent(address string, c courier.TableContent) {
 	now := f.Clock.Now()
 	f.update(func(s Snapshot) Snapshot {
 		s = s.withConfirmed(now.Add(-c.Age), now)
+		s.Source = address
 		if resumed := now.Add(-c.SinceOutage); c.SinceOutage > 0 && resumed.After(s.OutageEndedAt) {
 			s.OutageEndedAt = resumed
 		}
