follower, courier: the age of a table counts from the store to the node

What callers saw: requests reached an endpoint more than 2 s after the store had acknowledged that it was leaving, through nodes that nothing disturbed.

Cause: a node follows the list of endpoints through the hub of its data centre and trusted the age that the hub stated. That age was taken when the message was built and counted from the moment at which the hub read the store's response, so everything that waits in a slow hub or on the way was left out. A response for one table also counted as confirmation of the others, whose watches stay open for 8 s. With 0.25 s of batching, 1.5 s of stated age and 1.2 s of silence the parts added up to more than the 2 s that there are. The configuration goes the same way and had the same fault.

Change: the content of a table has one age, counted from the time at which the store was asked. A hub sends with it the time since it began to serve the stream; the receiver takes the earlier of the stated time and of its own request plus the elapsed time, so a delay anywhere makes the content older. A node whose configuration or list of endpoints is older than 1.2 s reads the store itself. The endpoints are watched in intervals of 0.8 s, like the configuration; a watch is open for as long as the content may still go without a confirmation. A hub sends when the store has confirmed the content, not only twice a second.

Why it works: 1.2 s, one read of the store and the time to open a connection are less than 2 s, and none of the three depends on what another node says of itself.

Tests, both failed before: slow-source (b had y only 1.8 s after the store; now at once, as it has left its source) and hung-watch (b still followed a, whose watch had no response, after 1.5 s).

--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -145,6 +145,7 @@
 		}),
 		AgeMs:     milliseconds(c.Age),
 		ResumedMs: milliseconds(c.SinceOutage),
+		ElapsedMs: milliseconds(c.Elapsed),
 	}
 }
 
@@ -158,5 +159,6 @@
 		}),
 		Age:         duration(m.GetAgeMs()),
 		SinceOutage: duration(m.GetResumedMs()),
+		Elapsed:     duration(m.GetElapsedMs()),
 	}
 }
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -210,4 +210,27 @@
 	// have expired; 0 if there was none.
 	Age         time.Duration
 	SinceOutage time.Duration
+	// Elapsed is the time since the sending node began to serve the request for the
+	// table, when it built the message. With the time of that request it bounds how
+	// old the content is on arrival, whatever has delayed it.
+	Elapsed time.Duration
+}
+
+// ConfirmedAt returns the latest time at which the store can have confirmed the
+// content of a message that arrives now, if the table was requested at a time of the
+// same clock.
+//
+// The age is that on sending. The request arrived no earlier than it was sent, so what
+// delayed the message shows as the difference between the times that have elapsed on
+// both nodes. A process that was suspended has a clock that is behind; the earlier of
+// the two bounds counts.
+func (c TableContent) ConfirmedAt(requested, now time.Time) time.Time {
+	stated := now.Add(-c.Age)
+	if c.Elapsed == 0 {
+		return stated
+	}
+	if bound := requested.Add(c.Elapsed - c.Age); bound.Before(stated) {
+		return bound
+	}
+	return stated
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -75,13 +75,17 @@
 
 // The intervals and timeouts for following the store.
 const (
-	// configWatchTimeout limits a watch of the configuration, so that an unresponsive
-	// store is noticed long before the time limits for changes and draining endpoints
-	// end.
-	configWatchTimeout = 800 * time.Millisecond
-	// tableWatchTimeout limits a watch of the other tables. It may be long, as the
-	// watch of the configuration shows whether the store is available.
-	tableWatchTimeout = 8 * time.Second
+	// watchTimeout and maxContentAge bound the age of the configuration and of the
+	// endpoints at every node: an undisturbed node knows a change within maxContentAge,
+	// and a read of the store. With the time to open a connection to an endpoint, that
+	// is less than the 2 s for which an endpoint serves after it has announced that
+	// it is leaving.
+	watchTimeout  = 800 * time.Millisecond
+	maxContentAge = 1200 * time.Millisecond
+	// nodesWatchTimeout and maxNodesAge are the same for the registered nodes, which
+	// may be known later.
+	nodesWatchTimeout = 8 * time.Second
+	maxNodesAge       = 10 * time.Second
 	// endpointChangeDelay batches the changes of a fleet that starts or drains, each
 	// of which would otherwise cost a call to the store. Work is kept from a draining
 	// endpoint that much later.
@@ -114,8 +118,8 @@
 	if err := n.listenPeers(); err != nil {
 		return nil, err
 	}
-	n.configs = n.newFollower(p.Config.KeyPrefix, configWatchTimeout, n.applyConfig)
-	n.endpoints = n.newFollower(p.EndpointKeyPrefix, tableWatchTimeout, n.applyEndpoints)
+	n.configs = n.newFollower(p.Config.KeyPrefix, watchTimeout, maxContentAge, n.applyConfig)
+	n.endpoints = n.newFollower(p.EndpointKeyPrefix, watchTimeout, maxContentAge, n.applyEndpoints)
 	n.endpoints.ChangeDelay = endpointChangeDelay
 	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, RewriteTimeout: s.EntryRewriteTimeout}
 	n.observer = &observer.Observer{
@@ -155,12 +159,12 @@
 }
 
 // newFollower returns a follower of the table with a key prefix.
-func (n *Node) newFollower(prefix string, watchTimeout time.Duration, apply func(follower.Snapshot)) *follower.Follower {
+func (n *Node) newFollower(prefix string, watchTimeout, maxAge time.Duration, apply func(follower.Snapshot)) *follower.Follower {
 	return &follower.Follower{
 		OnClock:     n.setStoreClock,
 		OnAvailable: n.storeAvailable,
 		Clock:       n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Reachability: &n.reachability, Relay: n.relay(),
-		WatchTimeout: watchTimeout, RefreshInterval: refreshInterval, RetryDelay: watchRetryDelay, OnChange: apply,
+		WatchTimeout: watchTimeout, MaxAge: maxAge, RefreshInterval: refreshInterval, RetryDelay: watchRetryDelay, OnChange: apply,
 	}
 }
 
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -94,7 +94,7 @@
 		Dialer: hubDialer{m.peerClient},
 		Work:   m.work,
 	}
-	m.nodes = n.newFollower(registrar.KeyPrefix, tableWatchTimeout, n.applyNodes)
+	m.nodes = n.newFollower(registrar.KeyPrefix, nodesWatchTimeout, maxNodesAge, n.applyNodes)
 	m.server = courier.NewServer(peerService{n})
 }
 
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -33,8 +33,12 @@
 	// ChangedVersion is the version of the newest row, deletions included.
 	ChangedVersion uint64
 	rows           map[string]transactor.Row
-	// ConfirmedAt is when the store last confirmed the content.
+	// ConfirmedAt is a time at which the content was that of the store: no change
+	// before it is missing.
 	ConfirmedAt time.Time
+	// ReachableAt is the last time before an outage at which the store is known to
+	// have responded to this node, for whatever table.
+	ReachableAt time.Time
 	// Source is the address of the node through which the content was last confirmed,
 	// or "" for the store itself.
 	Source string
@@ -63,7 +67,8 @@
 
 // withConfirmed returns a snapshot whose content the store confirmed at a time.
 func (s Snapshot) withConfirmed(at, now time.Time) Snapshot {
-	if s.Unavailable() && s.Loaded() && at.Sub(s.ConfirmedAt) >= minExpiryOutage {
+	outage := min(at.Sub(s.ConfirmedAt), at.Sub(s.ReachableAt))
+	if s.Unavailable() && s.Loaded() && outage >= minExpiryOutage {
 		s.OutageEndedAt = now
 	}
 	if at.After(s.ConfirmedAt) {
@@ -148,8 +153,12 @@
 	Log    zerolog.Logger
 	Feed   transactor.Feed
 	Prefix string
-	// WatchTimeout is how long one watch is open.
+	// WatchTimeout is how long the content may go without a confirmation by the store:
+	// a watch is open until then.
 	WatchTimeout time.Duration
+	// MaxAge is how old the content may be before a node that follows the table
+	// through another one turns to the store.
+	MaxAge time.Duration
 	// RefreshInterval is the interval at which the whole table is read again.
 	RefreshInterval time.Duration
 	// RetryDelay is the delay after the first failed call; it doubles with each
@@ -212,7 +221,8 @@
 	if !s.Loaded() || f.lastRead.IsZero() || now.Sub(f.lastRead) >= f.RefreshInterval {
 		return f.readAll(ctx, now)
 	}
-	c, err := f.Feed.Watch(ctx, f.Prefix, s.Version, f.WatchTimeout)
+	wait := max(f.WatchTimeout-max(now.Sub(s.ConfirmedAt), 0), 0)
+	c, err := f.Feed.Watch(ctx, f.Prefix, s.Version, wait)
 	switch {
 	case coder.Is(err, coder.HistoryGone):
 		f.lastRead = time.Time{}
@@ -226,10 +236,15 @@
 		return err
 	}
 	f.reportClock(c)
+	f.changed = len(c.Rows) > 0
+	confirmed := now
+	if !f.changed {
+		// There was no change for as long as the store has waited for one.
+		confirmed = now.Add(wait)
+	}
 	// Only the rows advance the snapshot's version, not the version of an empty
 	// response: the watch may have missed changes.
-	f.applyResponse(now, func(s Snapshot) Snapshot { return s.withChanges(c) })
-	f.changed = len(c.Rows) > 0
+	f.applyResponse(now, confirmed, func(s Snapshot) Snapshot { return s.withChanges(c) })
 	return nil
 }
 
@@ -241,7 +256,7 @@
 	}
 	f.lastRead = now
 	f.reportClock(c)
-	f.applyResponse(now, func(s Snapshot) Snapshot {
+	f.applyResponse(now, now, func(s Snapshot) Snapshot {
 		if c.Version < s.Version {
 			return s
 		}
@@ -256,16 +271,17 @@
 	}
 }
 
-// applyResponse changes the snapshot by a response of the store; asked is when the
-// request was sent.
-func (f *Follower) applyResponse(asked time.Time, change func(Snapshot) Snapshot) {
+// applyResponse changes the snapshot by a response of the store. asked is when the
+// request was sent, confirmed the time up to which the response is known to include
+// every change: it may have lain unread while this process was slow.
+func (f *Follower) applyResponse(asked, confirmed time.Time, change func(Snapshot) Snapshot) {
 	now := f.Clock.Now()
 	recovered := f.snapshot.Get().Unavailable()
 	f.failures = 0
 	f.Reachability.recordResponse(now)
 	f.update(func(s Snapshot) Snapshot {
 		unavailable := s.Unavailable()
-		s = s.withConfirmed(now, now)
+		s = s.withConfirmed(earlier(confirmed, now), now)
 		s.Source = ""
 		s.RequestedAt = asked
 		if unavailable {
@@ -279,6 +295,14 @@
 	}
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Follower) update(change func(Snapshot) Snapshot) {
 	var before, after Snapshot
 	f.snapshot.Update(func(s Snapshot) (Snapshot, bool) {
@@ -295,7 +319,7 @@
 	now := f.Clock.Now()
 	f.update(func(s Snapshot) Snapshot {
 		if !s.Unavailable() {
-			s.ConfirmedAt = f.Reachability.confirmedAt(s.ConfirmedAt)
+			s.ReachableAt = f.Reachability.reachableAt(s.ConfirmedAt)
 			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store unavailable")
 			s.UnavailableSince = now
 			if s.AvailableSince.Equal(now) {
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -61,7 +61,18 @@
 	mu      sync.Mutex
 	source  string
 	refused bool
-	failed  int
+	// hung leaves the calls of this node to the store without a response.
+	hung   bool
+	failed int
+	// lag is how late the node gets the content that another node sends.
+	lag time.Duration
+}
+
+// set changes the faults and the source of the node.
+func (n *node) set(change func(*node)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n)
 }
 
 func newCluster() *cluster {
@@ -93,24 +104,20 @@
 			}
 		})
 	case "refuse", "accept":
-		n := c.nodes[d.CmdArgs[0].Key]
-		n.mu.Lock()
-		n.refused = d.Cmd == "refuse"
-		n.mu.Unlock()
+		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.refused = d.Cmd == "refuse" })
+	case "hang", "answer":
+		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.hung = d.Cmd == "hang" })
+		c.store.set(func(*fakeStore) {})
+	case "lag":
+		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.lag = duration(t, d.CmdArgs[1].Key) })
 	case "source":
-		n := c.nodes[d.CmdArgs[0].Key]
-		n.mu.Lock()
-		n.source = ""
+		source := ""
 		if len(d.CmdArgs) > 1 {
-			n.source = d.CmdArgs[1].Key
+			source = d.CmdArgs[1].Key
 		}
-		n.mu.Unlock()
+		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.source = source })
 	case "wait":
-		span, err := time.ParseDuration(d.CmdArgs[0].Key)
-		if err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(span)
+		time.Sleep(duration(t, d.CmdArgs[0].Key))
 	case "calls":
 		n, most := c.store.takeCalls(), 0
 		d.MaybeScanArgs(t, "most", &most)
@@ -126,6 +133,14 @@
 	return c.show()
 }
 
+func duration(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // show returns the content of the table on each node.
 func (c *cluster) show() string {
 	var out strings.Builder
@@ -159,7 +174,7 @@
 	n := &node{cluster: c, name: name, reachability: reachability, noSource: noSource}
 	n.follower = &follower.Follower{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Reachability: n.reachability, Relay: n,
-		WatchTimeout: wait, RefreshInterval: 30 * time.Second, RetryDelay: 250 * time.Millisecond,
+		WatchTimeout: wait, MaxAge: 1200 * time.Millisecond, RefreshInterval: 30 * time.Second, RetryDelay: 250 * time.Millisecond,
 	}
 	if gap {
 		n.follower.ChangeDelay = 200 * time.Millisecond
@@ -193,26 +208,49 @@
 
 // Follow follows the table from another node of the cluster.
 func (n *node) Follow(ctx context.Context, address, _ string, changed uint64, take func(courier.TableContent)) error {
+	delayed := make(chan func(), maxDelayed)
+	var deliverer sync.WaitGroup
+	deliverer.Go(func() {
+		for deliver := range delayed {
+			deliver()
+		}
+	})
+	defer deliverer.Wait()
+	defer close(delayed)
 	return n.cluster.nodes[address].follower.Serve(ctx, changed, func(c courier.TableContent) error {
-		take(c)
+		n.mu.Lock()
+		at := time.Now().Add(n.lag)
+		n.mu.Unlock()
+		delayed <- func() {
+			select {
+			case <-time.After(time.Until(at)):
+				take(c)
+			case <-ctx.Done():
+			}
+		}
 		return ctx.Err()
 	})
 }
 
+// maxDelayed bounds the content that is on its way to a node.
+const maxDelayed = 100
+
 // Read reads the store for the node.
 func (n *node) Read(ctx context.Context, _ string) (transactor.Changes, error) {
-	return n.cluster.store.read(ctx, n.isRefused())
+	return n.cluster.store.read(ctx, n)
 }
 
 // Watch watches the store for the node.
 func (n *node) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (transactor.Changes, error) {
-	return n.cluster.store.watch(ctx, n.isRefused(), after, wait)
+	return n.cluster.store.watch(ctx, n, after, wait)
 }
 
-func (n *node) isRefused() bool {
+// faults returns whether the store refuses the node, and whether it leaves the calls
+// of the node without a response.
+func (n *node) faults() (refused, hung bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.refused
+	return n.refused, n.hung
 }
 
 // fakeStore is one table with faults.
@@ -260,10 +298,11 @@
 const callLimit = 800 * time.Millisecond
 
 // begin counts a call and applies the faults.
-func (s *fakeStore) begin(ctx context.Context, refused bool, limit time.Duration) error {
+func (s *fakeStore) begin(ctx context.Context, n *node, limit time.Duration) error {
+	refused, hung := n.faults()
 	s.mu.Lock()
 	s.calls++
-	down, hang := s.down || refused, s.hang
+	down, hang := s.down || refused, s.hang || hung
 	s.mu.Unlock()
 	if down {
 		return errNoResponse
@@ -279,8 +318,8 @@
 	}
 }
 
-func (s *fakeStore) read(ctx context.Context, refused bool) (transactor.Changes, error) {
-	if err := s.begin(ctx, refused, callLimit); err != nil {
+func (s *fakeStore) read(ctx context.Context, n *node) (transactor.Changes, error) {
+	if err := s.begin(ctx, n, callLimit); err != nil {
 		return transactor.Changes{}, err
 	}
 	s.mu.Lock()
@@ -294,8 +333,8 @@
 	return c, nil
 }
 
-func (s *fakeStore) watch(ctx context.Context, refused bool, after uint64, wait time.Duration) (transactor.Changes, error) {
-	if err := s.begin(ctx, refused, wait+callLimit); err != nil {
+func (s *fakeStore) watch(ctx context.Context, n *node, after uint64, wait time.Duration) (transactor.Changes, error) {
+	if err := s.begin(ctx, n, wait+callLimit); err != nil {
 		return transactor.Changes{}, err
 	}
 	end := time.After(wait)
@@ -307,7 +346,8 @@
 				c.Rows = append(c.Rows, r)
 			}
 		}
-		dropped, down, hang, next := after < s.dropped, s.down, s.hang, s.changed
+		_, hung := n.faults()
+		dropped, down, hang, next := after < s.dropped, s.down, s.hang || hung, s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
--- a/internal/store/follower/reachability.go
+++ b/internal/store/follower/reachability.go
@@ -34,11 +34,10 @@
 // response.
 var errOtherCallFailed = coder.Refuse(coder.PlatformUnavailable, "another call to the store got no response")
 
-// confirmedAt returns when the store last confirmed a table whose last response
-// came at a time: any response of the store confirms the open watch of the table.
-// If a call has failed since, the watch may have been lost on the same path, and
-// only the table's own response counts.
-func (p *Reachability) confirmedAt(last time.Time) time.Time {
+// reachableAt returns when the store last responded to this node, given the time of the
+// last response for one table. If a call has failed since that time, a later response
+// does not show that the calls for that table were still answered.
+func (p *Reachability) reachableAt(last time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.respondedAt.After(last) && last.After(p.failedAt) {
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -14,12 +14,11 @@
 // The intervals and timeouts of following a table through another node.
 const (
 	// idleInterval is how often a node that serves a table sends the age of its
-	// content while nothing changes.
-	idleInterval = 500 * time.Millisecond
-	// sourceTimeout is how long a source may send nothing, and maxSourceAge how old
-	// its content may be, before the node turns to the store.
-	sourceTimeout = 1200 * time.Millisecond
-	maxSourceAge  = 1500 * time.Millisecond
+	// content while the store neither changes nor confirms it.
+	idleInterval = 900 * time.Millisecond
+	// sourceTimeout is how long a source may send nothing before the node turns to the
+	// store.
+	sourceTimeout = 2 * idleInterval
 	// probeInterval is how often a node probes a store that is unavailable to it
 	// while it follows the table from another node.
 	probeInterval = 1500 * time.Millisecond
@@ -49,6 +48,7 @@
 // the store is due to be probed.
 func (f *Follower) followNode(ctx context.Context, address string) {
 	ctx, cancel := context.WithCancel(ctx)
+	requested := f.Clock.Now()
 	// Earlier content of the store is out of date when it is asked again.
 	defer func() { f.lastRead = time.Time{} }()
 	contents := make(chan courier.TableContent)
@@ -67,25 +67,29 @@
 			}
 		})
 	})
+	// The clocks of two nodes drift apart, so the table is requested again at times.
+	renewal := f.Clock.After(f.RefreshInterval)
 	for {
 		select {
 		case c, ok := <-contents:
-			switch {
-			case !ok:
+			if !ok {
 				f.dropSource(address, "stream ended", followErr)
 				return
-			case c.Age > maxSourceAge:
-				// It may still be newer than this node's content.
-				f.applyContent(address, c)
+			}
+			// Even content that is too old may be newer than that of this node.
+			confirmed := c.ConfirmedAt(requested, f.Clock.Now())
+			f.applyContent(address, c, confirmed)
+			if f.Clock.Now().Sub(confirmed) > f.MaxAge {
 				f.dropSource(address, "content too old", nil)
 				return
 			}
-			f.applyContent(address, c)
 			if f.source() != address || f.probeDue() {
 				return
 			}
-		case <-f.Clock.After(sourceTimeout):
-			f.dropSource(address, "no content within the timeout", nil)
+		case <-f.Clock.After(f.sourceLimit()):
+			f.dropSource(address, "no current content within the timeout", nil)
+			return
+		case <-renewal:
 			return
 		case <-ctx.Done():
 			return
@@ -93,6 +97,16 @@
 	}
 }
 
+// sourceLimit returns how long to wait for the next content of a source: until the
+// content of this node is too old, or sourceTimeout if it already is.
+func (f *Follower) sourceLimit() time.Duration {
+	left := f.MaxAge - f.Clock.Now().Sub(f.snapshot.Get().ConfirmedAt)
+	if left <= 0 {
+		return sourceTimeout
+	}
+	return min(left, sourceTimeout)
+}
+
 // dropSource records that a source has failed; the store is asked next.
 func (f *Follower) dropSource(address, reason string, err error) {
 	now := f.Clock.Now()
@@ -107,11 +121,11 @@
 }
 
 // applyContent updates the snapshot by the content that the node at an address has
-// sent.
-func (f *Follower) applyContent(address string, c courier.TableContent) {
+// sent and that the store confirmed at a time.
+func (f *Follower) applyContent(address string, c courier.TableContent, confirmed time.Time) {
 	now := f.Clock.Now()
 	f.update(func(s Snapshot) Snapshot {
-		s = s.withConfirmed(now.Add(-c.Age), now)
+		s = s.withConfirmed(confirmed, now)
 		s.Source = address
 		if resumed := now.Add(-c.SinceOutage); c.SinceOutage > 0 && resumed.After(s.OutageEndedAt) {
 			s.OutageEndedAt = resumed
@@ -133,13 +147,15 @@
 // Serve sends the content to another node until ctx is done or send fails.
 func (f *Follower) Serve(ctx context.Context, changed uint64, send func(courier.TableContent) error) error {
 	var sent Snapshot
+	began := f.Clock.Now()
 	for ctx.Err() == nil {
 		s, next := f.snapshot.Watch()
 		if s.Loaded() {
 			c := s.changesSince(sent)
-			c.Age = f.Clock.Now().Sub(f.confirmedAt(s))
+			now := f.Clock.Now()
+			c.Age, c.Elapsed = now.Sub(s.ConfirmedAt), max(now.Sub(began), time.Millisecond)
 			if !s.OutageEndedAt.IsZero() {
-				c.SinceOutage = max(f.Clock.Now().Sub(s.OutageEndedAt), time.Millisecond)
+				c.SinceOutage = max(now.Sub(s.OutageEndedAt), time.Millisecond)
 			}
 			if !sent.Loaded() && s.ChangedVersion == changed {
 				c.Complete, c.Rows = false, nil
@@ -149,31 +165,22 @@
 			}
 			sent = s
 		}
-		if err := f.waitForChange(ctx, next, s.ChangedVersion); err != nil {
+		if err := f.awaitNews(ctx, next, s); err != nil {
 			return err
 		}
 	}
 	return ctx.Err()
 }
 
-// confirmedAt returns when the store last confirmed a snapshot. While a watch of
-// the table is open, any response of the store confirms it.
-func (f *Follower) confirmedAt(s Snapshot) time.Time {
-	if s.Unavailable() || f.source() != "" {
-		return s.ConfirmedAt
-	}
-	return f.Reachability.confirmedAt(s.ConfirmedAt)
-}
-
-// waitForChange waits until the content has changed or the idle interval is over.
-func (f *Follower) waitForChange(ctx context.Context, next <-chan struct{}, changed uint64) error {
+// awaitNews waits until the content has changed, the store has confirmed it again, or
+// the idle interval is over.
+func (f *Follower) awaitNews(ctx context.Context, next <-chan struct{}, sent Snapshot) error {
 	idle := f.Clock.After(idleInterval)
 	for {
 		select {
 		case <-next:
-			// The store confirms the content more often than it changes.
 			var s Snapshot
-			if s, next = f.snapshot.Watch(); s.ChangedVersion != changed {
+			if s, next = f.snapshot.Watch(); s.ChangedVersion != sent.ChangedVersion || s.ConfirmedAt.After(sent.ConfirmedAt) {
 				return nil
 			}
 		case <-idle:
