observer, lister: an older list does not take back that an endpoint is leaving

Cause: two goroutines refresh the table of endpoints, one with each change of the entries and one twice a second. Each reads the list and then applies it, so a list that was read before another could be applied after it. It marked a leaving endpoint as live again until the next refresh, up to half a second later. The lister also took the entries before it took its lock, so its own list could go back by one change.

Change: a list is applied only if no list that was requested later has been applied; the lister takes the entries under its lock. No lock is held while the list is read.

Evidence: the script overtake, with two refreshes that overlap. Before, b was fit again after it had been listed as leaving; now it stays leaving.

--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -57,10 +57,12 @@
 
 // List returns the endpoints and the age of the list.
 func (l *Lister) List(context.Context) ([]supplier.VM, time.Duration, error) {
-	s := l.Snapshot()
 	now := l.Clock.Now()
+	var s follower.Snapshot
 	var out list
 	l.list.Update(func(before list) (list, bool) {
+		// Taken under the lock, so that of two calls the later one has the newer entries.
+		s = l.Snapshot()
 		out = before
 		if s.ChangedVersion != before.changed || s.Loaded() != before.loaded {
 			out = l.decodeChanged(before, s, now)
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,7 +43,12 @@
 	deployments keeper.Table[string, deploymentState]
 	// rebuildMu allows one rebuild at a time, so that the last includes every change.
 	rebuildMu sync.Mutex
-	list      keeper.Cell[list]
+	// requests numbers the requests for the list. applyMu allows one list at a time to
+	// be applied, before rebuildMu; applied is the number of the last one.
+	requests atomic.Uint64
+	applyMu  sync.Mutex
+	applied  uint64
+	list     keeper.Cell[list]
 }
 
 // deploymentState is the state of one deployment. It is an immutable value.
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -27,10 +27,27 @@
 	vms   []supplier.VM
 	age   time.Duration
 	loads map[string]controller.Load
+	// listed is called with each list before it is returned; it may be nil.
+	listed func()
 }
 
 func (h *harness) List(context.Context) ([]supplier.VM, time.Duration, error) {
-	return h.vms, h.age, nil
+	vms, age := h.vms, h.age
+	if h.listed != nil {
+		h.listed()
+	}
+	return vms, age, nil
+}
+
+// overtake refreshes the table with two lists, of which the second is returned while
+// the first is on its way.
+func (h *harness) overtake(t *testing.T, o *observer.Observer, first, second string) {
+	h.vms = parseVMs(first)
+	h.listed = func() {
+		h.vms, h.listed = parseVMs(second), nil
+		check(t, o.RefreshList(t.Context()))
+	}
+	check(t, o.RefreshList(t.Context()))
 }
 
 // RoundTrip returns the load report of an endpoint, or an error if it has none.
@@ -62,6 +79,9 @@
 			case "list":
 				h.vms, h.age = parseVMs(td.Input), 0
 				check(t, o.RefreshList(t.Context()))
+			case "overtake":
+				first, second, _ := strings.Cut(td.Input, "then\n")
+				h.overtake(t, o, first, second)
 			case "reports":
 				h.loads = parseLoads(td.Input)
 				check(t, o.RefreshLoad(t.Context()))
--- a/internal/fleet/observer/refresh.go
+++ b/internal/fleet/observer/refresh.go
@@ -21,12 +21,25 @@
 	reportMaxAge = 3 * time.Second
 )
 
-// RefreshList updates the table with the platform's list of VMs.
+// RefreshList updates the table with the platform's list of VMs. A list that was
+// requested earlier than one already applied is dropped, as it may be older.
 func (o *Observer) RefreshList(ctx context.Context) error {
+	request := o.requests.Add(1)
 	vms, age, err := o.VMs.List(ctx)
 	if err != nil {
 		return err
 	}
+	o.applyMu.Lock()
+	defer o.applyMu.Unlock()
+	if request > o.applied {
+		o.applied = request
+		o.applyList(vms, age)
+	}
+	return nil
+}
+
+// applyList updates the table with a list of a given age.
+func (o *Observer) applyList(vms []supplier.VM, age time.Duration) {
 	ids := make(map[string][]string)
 	listed := make(map[string]bool, len(vms))
 	createdAt := o.Clock.Now().Add(-age)
@@ -51,7 +64,6 @@
 	o.rebuildStale()
 	// Last, since ListRead makes the node ready.
 	o.list.Update(func(l list) (list, bool) { return l.with(createdAt, vms), true })
-	return nil
 }
 
 // ListRead reports whether the platform's list has been read since the start.
