roundtripper, sender: the head of a response and what precedes it are bounded

What callers saw: an endpoint, a store or a receiver of orders that sends bytes without end in place of the head of a response ends the node, and with it all its requests.

Cause: http.ReadResponse has no bound of its own. Transport.MaxHeadBytes stood there and was read nowhere. Interim responses and the bodies of responses to other requests were skipped without a bound, so they kept a thread busy until the deadline.

Change: package limiter, a reader with a bound that is an error and not an end. All heads of one exchange share 64 KiB, interim and mismatched ones included; the body of a mismatched response is discarded up to 256 KiB. The sender of orders has the same bound, and the transports of net/http, whose default is 10 MiB, too.

Why it works: every byte that is read before a head is accepted counts, whatever it looks like, and the exchange ends with the first byte beyond. Its outcome stays unknown, as the request may have run, so a caller gets 502 and no promise.

Test: the script roundtripper/endless, eight kinds of bytes. Before, six of them were read to more than 128 KiB or 1 MiB; the size of a chunk and the trailer were bounded already.

--- a/internal/authority/sender/sender.go
+++ b/internal/authority/sender/sender.go
@@ -20,6 +20,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 )
 
 // maxRequest bounds the size of a request in bytes. It fits into the send buffer
@@ -86,7 +87,10 @@
 	if _, err := conn.Write(data); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(bufio.NewReader(conn), req)
+	head := &limiter.Reader{R: conn}
+	head.SetLimit(limiter.MaxHead)
+	defer head.Suspend()
+	return http.ReadResponse(bufio.NewReader(head), req)
 }
 
 // encode returns the request in its wire format.
--- a/internal/base/roundtripper/connection.go
+++ b/internal/base/roundtripper/connection.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 )
 
 // readBufferSize is enough to read the head of a response with a small body at
@@ -18,13 +20,16 @@
 	netConn net.Conn
 	address string
 	r       *bufio.Reader
+	// head bounds what r reads from netConn while a head is expected.
+	head *limiter.Reader
 	// reused means that the connection has already carried a request.
 	reused  bool
 	expires time.Time
 }
 
 func newConnection(conn net.Conn, address string) *connection {
-	return &connection{netConn: conn, address: address, r: bufio.NewReaderSize(conn, readBufferSize)}
+	head := &limiter.Reader{R: conn}
+	return &connection{netConn: conn, address: address, r: bufio.NewReaderSize(head, readBufferSize), head: head}
 }
 
 // usable reports whether an idle connection is still open and has no bytes to
--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -1,6 +1,7 @@
 package roundtripper
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 )
 
 // Request is an HTTP request.
@@ -219,11 +221,17 @@
 	}
 }
 
-// maxMismatched is the number of responses to other requests that are discarded
-// before the exchange fails.
-const maxMismatched = 2
+const (
+	// maxMismatched is the number of responses to other requests that are discarded
+	// before the exchange fails, maxMismatchedBody bounds the body of each in bytes.
+	maxMismatched     = 2
+	maxMismatchedBody = 256 << 10
+)
 
 func (x *exchange) read(method string, o Options) (*Response, error) {
+	head := x.conn.head
+	head.SetLimit(int64(cmp.Or(x.transport.MaxHeadBytes, limiter.MaxHead)))
+	defer head.Suspend()
 	for range maxMismatched + 1 {
 		resp, err := x.readHead(method) //nolint:bodyclose // The caller closes the body of the response.
 		if err != nil {
@@ -235,9 +243,11 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		head.Suspend()
+		if err := limiter.Discard(resp.Body, maxMismatchedBody); err != nil {
 			return nil, err
 		}
+		head.Resume()
 	}
 	return nil, coder.New(coder.AnswerCrossed, "the responses belong to other requests")
 }
--- a/internal/base/roundtripper/transport.go
+++ b/internal/base/roundtripper/transport.go
@@ -31,7 +31,8 @@
 	// MaxIdle is the maximum number of idle connections to one address; 0 means
 	// no bound.
 	MaxIdle int
-	// MaxHeadBytes bounds the head of a response in bytes; 0 means 64 KiB.
+	// MaxHeadBytes bounds the head of a response in bytes, together with the heads of
+	// interim responses and of responses to other requests; 0 means 64 KiB.
 	MaxHeadBytes int
 
 	mu    sync.Mutex
--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,16 +24,17 @@
 )
 
 // TestScripts guards against a request that is sent a second time, a response that
-// is taken for that of another request, and a failure reported as not run although
-// bytes have been sent. Each command is a request with what the server does with
+// is taken for that of another request, a failure reported as not run although
+// bytes have been sent, and a response without end that takes memory or time until
+// the deadline. Each command is a request with what the server does with
 // it; the output is what the sender and the server have seen.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newServer(t)
 		defer s.close()
 		clock := timekeeper.NewFake(time.Unix(1000, 0))
-		l := &roundtripper.Transport{Clock: clock, Dial: roundtripper.Dialer{Timeout: time.Second, PeerTimeout: time.Second}.Dial, IdleTimeout: 4 * time.Second}
-		f := &fixture{server: s, clock: clock, transport: l}
+		f := &fixture{server: s, clock: clock}
+		f.transport = &roundtripper.Transport{Clock: clock, Dial: f.dial, IdleTimeout: 4 * time.Second}
 		datadriven.RunTest(t, path, f.runCommand)
 	})
 }
@@ -41,17 +44,46 @@
 	clock     *timekeeper.Fake
 	transport *roundtripper.Transport
 	unread    []*roundtripper.Response
+	// received is the number of bytes that were read from the server.
+	received atomic.Int64
 	// step is the number of the command. Each request carries the number of its
 	// command, as an interrupted request may arrive while the next command runs.
 	step int
 }
 
+// dial opens a connection that counts the bytes read from it.
+func (f *fixture) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := roundtripper.Dialer{Timeout: time.Second, PeerTimeout: time.Second}.Dial(ctx, address)
+	return countingConn{Conn: c, received: &f.received}, err
+}
+
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// SyscallConn returns the raw connection.
+func (c countingConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (f *fixture) runCommand(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "send":
 		f.step++
 		f.server.setScript(f.step, d.Input)
+		f.received.Store(0)
 		out := f.send(t, d)
+		if max := 0; d.HasArg("reads") {
+			d.ScanArgs(t, "reads", &max)
+			out += fmt.Sprintf("read no more than %d KiB: %t\n", max, f.received.Load() <= int64(max)<<10)
+		}
 		if !d.HasArg("failing-body") {
 			// An interrupted request may or may not arrive.
 			out += f.server.received()
@@ -241,6 +273,30 @@
 	"garbled":   "SMTP 7\r\n\r\n",
 }
 
+// endless maps steps to what the server begins with and what it then repeats until
+// the connection is closed.
+var endless = map[string][2]string{
+	"endless-fields":  {"HTTP/1.1 200 OK\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+	"endless-line":    {"HTTP/1.1 200 OK\r\nX-Field: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+	"endless-status":  {"HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+	"endless-noise":   {"", "\x00\x01\x02\x03noise noise noise noise noise"},
+	"endless-interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"endless-crossed": {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"endless-size":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+	"endless-trailer": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+}
+
+// maxEndless bounds the bytes of an endless response.
+const maxEndless = 64 << 20
+
+func writeEndless(c net.Conn, begin, unit string) {
+	_, err := io.WriteString(c, begin)
+	block := strings.Repeat(unit, 1024)
+	for n := 0; err == nil && n < maxEndless; n += len(block) {
+		_, err = io.WriteString(c, block)
+	}
+}
+
 // closingSteps has the steps after which the server closes the connection.
 var closingSteps = map[string]bool{"cut-chunk": true, "short": true, "to-close": true, "then-ends": true, "garbled": true, "cut": true}
 
@@ -271,6 +327,10 @@
 			_, _ = r.ReadByte()
 			return
 		}
+		if e, ok := endless[step]; ok {
+			writeEndless(c, e[0], e[1])
+			return
+		}
 		_, _ = io.WriteString(c, responses[step])
 		if closingSteps[step] {
 			return
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/authority/leaser"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/applier"
@@ -95,7 +96,7 @@
 		EndpointKeyPrefix: vmKeyPrefix,
 		DecodeEndpoint:    decodeVM,
 		Dialect:           translator.Translator{},
-		Engines:           controller.Client{Transport: &http.Transport{}},
+		Engines:           controller.Client{Transport: newTransport("")},
 		Callers: func(n *composer.Node) http.Handler {
 			return receiver.Receiver{Clock: b.clock, Log: b.log, Configs: n, Handler: n, CheckReady: n.Ready}.Routes()
 		},
@@ -122,8 +123,8 @@
 // local IP; empty means any.
 func newTransport(source string) *http.Transport {
 	if source == "" {
-		return &http.Transport{}
+		return &http.Transport{MaxResponseHeaderBytes: limiter.MaxHead}
 	}
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
-	return &http.Transport{DialContext: d.DialContext}
+	return &http.Transport{DialContext: d.DialContext, MaxResponseHeaderBytes: limiter.MaxHead}
 }
--- a/internal/node/assembler/parts.go
+++ b/internal/node/assembler/parts.go
@@ -41,7 +41,7 @@
 // buildComponents returns the components of a node that the composer does not
 // create.
 func (b *builder) buildComponents(n *composer.Node) composer.Components {
-	n.Observer().Engines = controller.Client{Transport: &http.Transport{}}
+	n.Observer().Engines = controller.Client{Transport: newTransport("")}
 	n.Observer().ReportLag = reportLag
 	q := &queuer.Queue[*dispatcher.Job]{Clock: b.clock, Log: b.log, Configs: n, Capacity: n.Observer(), Peers: otherNodes{n}}
 	n.Observer().OnRefresh = q.UpdateCapacity
