forwarder, platform: a body or an event without end takes 256 KiB, and none is cut silently

What callers saw: an endpoint whose body never ends took 16 MiB for each request at it, one whose event never ends 1 MiB; with a hundred connections to that endpoint this is more than a node has. A response of a control interface over its bound was cut and read as if it were whole.

Cause: the bounds were chosen for one response, not for all connections to one endpoint. io.LimitReader ends the data at the bound, so a cut response looks like a complete one.

Change: an event may have 256 KiB, a response that must be checked as a whole 1 MiB. Other responses are read up to 256 KiB before they are passed on, so that a usual one can still be repeated when it is cut; a longer one is passed on as it arrives and needs no more memory.

Why it works: what a node keeps of a response no longer depends on its length. A body without end reaches its caller until the deadline and then breaks off, so it never looks complete.

--- a/internal/engine/controller/client.go
+++ b/internal/engine/controller/client.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
@@ -87,7 +87,7 @@
 		return nil, coder.Wrap(coder.EndpointUnreachable, err, "endpoint %s did not respond", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := limiter.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, coder.Wrap(coder.EndpointFailed, err, "the response of endpoint %s was cut off", address)
 	}
--- a/internal/operator/requester/client.go
+++ b/internal/operator/requester/client.go
@@ -10,7 +10,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,6 +18,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 )
 
 // Client calls the operators' interface of one node.
@@ -140,7 +140,7 @@
 		return nil, c.noResponseError(method, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := limiter.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, c.noResponseError(method, err)
 	}
--- a/internal/platform/connector/client.go
+++ b/internal/platform/connector/client.go
@@ -10,7 +10,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,6 +17,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/platform/encoder"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
@@ -191,7 +191,7 @@
 		return nil, sendError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	data, err := limiter.ReadAll(resp.Body, maxResponse)
 	if err != nil {
 		return nil, coder.Wrap(coder.PlatformUnsure, err, "the response of the platform was cut off")
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -26,9 +26,12 @@
 
 // The ways to pass a response on.
 const (
-	// Buffered reads a response to its end before it passes it on, so that the
-	// request can be repeated if the response is cut off.
+	// Buffered reads a response to its end before it passes it on, so that it can be
+	// checked as a whole, and the request repeated if the response is cut off.
 	Buffered Mode = iota
+	// Prefetched does the same with a response of usual length; a longer one is passed
+	// on as it arrives.
+	Prefetched
 	// Streamed passes a response on as it arrives.
 	Streamed
 	// Events passes an event stream on, one complete event at a time.
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/limiter"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
@@ -29,10 +30,12 @@
 
 const (
 	readBufferSize = 32 << 10
-	// maxEvent bounds one event of a stream, in bytes.
-	maxEvent = 1 << 20
-	// maxBuffered bounds a response that is read completely, in bytes.
-	maxBuffered = 16 << 20
+	// maxEvent bounds one event of a stream, maxBuffered a response that is read
+	// completely, and maxPrefetch what is read of a response before it is passed on,
+	// all in bytes. An endpoint in trouble takes that much for each connection to it.
+	maxEvent    = 256 << 10
+	maxBuffered = 1 << 20
+	maxPrefetch = 256 << 10
 	// drainTimeout and drainLimit bound the reading of the end of a stream
 	// after its last event, and of the rest of a response that is not passed
 	// on. Without that end the connection cannot be kept, and the next request
@@ -58,8 +61,11 @@
 		return x.passEvents(ctx, w)
 	}
 	x.watchdog.start(x.attempt.IdleTimeout, errIdleTimeout)
-	if mode == Streamed {
-		return x.passChunks(ctx, w)
+	switch mode {
+	case Streamed:
+		return x.passChunks(ctx, w, nil)
+	case Prefetched:
+		return x.passPrefetched(ctx, w)
 	}
 	return x.passBuffered(ctx, w)
 }
@@ -94,13 +100,10 @@
 }
 
 func (x *relay) readAll(ctx context.Context) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(x.response.Body, maxBuffered+1))
+	data, err := limiter.ReadAll(x.response.Body, maxBuffered)
 	if err != nil {
 		return nil, readFailure(ctx, err)
 	}
-	if len(data) > maxBuffered {
-		return nil, coder.New(coder.EndpointFailed, "the response is larger than %d bytes", maxBuffered)
-	}
 	// A caller that is slow to take the response does not hold the connection.
 	x.close()
 	return data, nil
@@ -111,14 +114,42 @@
 	if err != nil {
 		return err
 	}
+	return x.passWhole(ctx, w, data)
+}
+
+func (x *relay) passPrefetched(ctx context.Context, w carrier.ResponseWriter) error {
+	data, err := io.ReadAll(io.LimitReader(x.response.Body, maxPrefetch))
+	switch {
+	case err != nil:
+		return readFailure(ctx, err)
+	case len(data) < maxPrefetch:
+		x.close()
+		return x.passWhole(ctx, w, data)
+	case x.failedByEndpoint():
+		return x.statusError()
+	}
+	return x.passChunks(ctx, w, data)
+}
+
+// failedByEndpoint reports whether the endpoint failed a request that another one may
+// still serve.
+func (x *relay) failedByEndpoint() bool {
+	return x.head.Status >= http.StatusInternalServerError && x.attempt.Request.MayRetry() && !x.report.ResponseBegun
+}
+
+func (x *relay) statusError() error {
+	return coder.New(coder.EndpointFailed, "the endpoint responded with status %d", x.head.Status)
+}
+
+// passWhole passes a complete response on.
+func (x *relay) passWhole(ctx context.Context, w carrier.ResponseWriter, data []byte) (err error) {
 	x.report.Usage, err = x.forwarder.Dialect.CheckResponse(x.attempt, x.head, data)
 	if err != nil {
 		return err
 	}
-	r := x.attempt.Request
-	if x.head.Status >= http.StatusInternalServerError && r.MayRetry() && !x.report.ResponseBegun {
+	if x.failedByEndpoint() {
 		x.report.FailureResponse = carrier.Response{Head: x.head, Body: data}
-		return coder.New(coder.EndpointFailed, "the endpoint responded with status %d", x.head.Status)
+		return x.statusError()
 	}
 	x.reportFirst()
 	if err := x.begin(ctx, w); err != nil {
@@ -137,11 +168,17 @@
 	}
 }
 
-func (x *relay) passChunks(ctx context.Context, w carrier.ResponseWriter) error {
+// passChunks passes on what has been read of a response, and the rest as it arrives.
+func (x *relay) passChunks(ctx context.Context, w carrier.ResponseWriter, data []byte) error {
 	x.reportFirst()
 	if err := x.begin(ctx, w); err != nil {
 		return err
 	}
+	if len(data) > 0 {
+		if err := x.write(ctx, w, data); err != nil {
+			return err
+		}
+	}
 	buf := make([]byte, readBufferSize)
 	for {
 		n, err := x.response.Body.Read(buf)
