dispatcher: a request is not refused as not run after an attempt that may have run

Cause: where no engine prefills the prompt, for lack of a retry or because the time is over, the request ended as not run, although an earlier attempt at it may have run.

Change: both places take the outcome of all attempts so far. The other places that end a request as not run, in the queue, the claims, the second check before the first attempt and the choice of the first endpoint, come before any attempt.

Test: platform/testdata/serve/prefill-after-attempt. Before, both callers got 503; now 502 and 504.

--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -59,7 +59,7 @@
 	c.freshConnection = c.freshConnection || coder.Is(err, coder.ConnectionLost)
 	explainer.LogPrefillFailure(d.Log, r.ID, e.ID, err)
 	if c.job.ctx.Err() != nil {
-		c.result.Err = d.endReason(c.job, err).WithOutcome(coder.NotRun)
+		c.result.Err = d.endReason(c.job, err).WithOutcome(c.history.Outcome())
 		return false
 	}
 	c.progress.Tried = append(c.progress.Tried, e.ID)
@@ -69,7 +69,7 @@
 		return true
 	}
 	budgetSpent.Add(1)
-	c.result.Err = coder.Wrap(coder.EndpointRefused, err, "no engine prefilled the prompt").WithOutcome(coder.NotRun).WithRetryAfter(c.rule.Backoff)
+	c.result.Err = coder.Wrap(coder.EndpointRefused, err, "no engine prefilled the prompt").WithOutcome(c.history.Outcome()).WithRetryAfter(c.rule.Backoff)
 	return false
 }
 
