follower, lister: one method for the age of a table

The lister read its clock before it took the table under its lock, so an age could be slightly below zero.

Behaviour is otherwise the same.

Measured: the scripts of follower, lister and observer pass with the race detector, none of their outputs changed.

--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -57,12 +57,13 @@
 
 // List returns the endpoints and the age of the list.
 func (l *Lister) List(context.Context) ([]supplier.VM, time.Duration, error) {
-	now := l.Clock.Now()
 	var s follower.Snapshot
+	var now time.Time
 	var out list
 	l.list.Update(func(before list) (list, bool) {
 		// Taken under the lock, so that of two calls the later one has the newer entries.
 		s = l.Snapshot()
+		now = l.Clock.Now()
 		out = before
 		if s.ChangedVersion != before.changed || s.Loaded() != before.loaded {
 			out = l.decodeChanged(before, s, now)
@@ -78,7 +79,7 @@
 			vms = append(vms, vm)
 		}
 	}
-	return vms, now.Sub(s.ConfirmedAt), nil
+	return vms, s.Age(now), nil
 }
 
 // decodeChanged returns the list of a new snapshot and decodes the rows that have
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -272,7 +272,7 @@
 // listState returns the version, age and source of the endpoints' entries.
 func (n *Node) listState() explainer.ListState {
 	s := n.endpoints.Snapshot()
-	return explainer.ListState{Version: s.ChangedVersion, Age: n.clock.Now().Sub(s.ConfirmedAt), Source: s.Source}
+	return explainer.ListState{Version: s.ChangedVersion, Age: s.Age(n.clock.Now()), Source: s.Source}
 }
 
 // recordPrefixes reports to the other nodes that an engine prefills the prefixes
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -83,6 +83,9 @@
 // Unavailable reports whether the store is unavailable to this node.
 func (s Snapshot) Unavailable() bool { return s.UnavailableSince.After(s.AvailableSince) }
 
+// Age returns how old the content is at a time, counted from the store.
+func (s Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
+
 // Get returns a row.
 func (s Snapshot) Get(key string) (transactor.Row, bool) {
 	r, ok := s.rows[key]
@@ -221,7 +224,7 @@
 	if !s.Loaded() || f.lastRead.IsZero() || now.Sub(f.lastRead) >= f.RefreshInterval {
 		return f.readAll(ctx, now)
 	}
-	wait := max(f.WatchTimeout-max(now.Sub(s.ConfirmedAt), 0), 0)
+	wait := max(f.WatchTimeout-s.Age(now), 0)
 	c, err := f.Feed.Watch(ctx, f.Prefix, s.Version, wait)
 	switch {
 	case coder.Is(err, coder.HistoryGone):
--- a/internal/store/follower/reachability.go
+++ b/internal/store/follower/reachability.go
@@ -12,8 +12,8 @@
 // followers of the node share it.
 //
 // A network path that fails for one call fails for all, so a failed call cancels
-// the others. A response to the short watch of one table shows that the path of
-// the longer watches still works. The zero value is ready to use.
+// the others. A response for one table shows that the store was reachable, but not
+// that the content of another table is current. The zero value is ready to use.
 type Reachability struct {
 	mu sync.Mutex
 	// respondedAt is when the store last responded, failedAt when a call last got
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -100,7 +100,7 @@
 // sourceLimit returns how long to wait for the next content of a source: until the
 // content of this node is too old, or sourceTimeout if it already is.
 func (f *Follower) sourceLimit() time.Duration {
-	left := f.MaxAge - f.Clock.Now().Sub(f.snapshot.Get().ConfirmedAt)
+	left := f.MaxAge - f.snapshot.Get().Age(f.Clock.Now())
 	if left <= 0 {
 		return sourceTimeout
 	}
@@ -111,7 +111,7 @@
 func (f *Follower) dropSource(address, reason string, err error) {
 	now := f.Clock.Now()
 	f.Log.Info().Str("table", f.Prefix).Str("address", address).Str("reason", reason).AnErr("cause", err).
-		Dur("age-ms", now.Sub(f.snapshot.Get().ConfirmedAt)).Msg("source dropped")
+		Dur("age-ms", f.snapshot.Get().Age(now)).Msg("source dropped")
 	maps.DeleteFunc(f.avoidUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	if f.avoidUntil == nil {
 		f.avoidUntil = make(map[string]time.Time)
@@ -153,7 +153,7 @@
 		if s.Loaded() {
 			c := s.changesSince(sent)
 			now := f.Clock.Now()
-			c.Age, c.Elapsed = now.Sub(s.ConfirmedAt), max(now.Sub(began), time.Millisecond)
+			c.Age, c.Elapsed = s.Age(now), max(now.Sub(began), time.Millisecond)
 			if !s.OutageEndedAt.IsZero() {
 				c.SinceOutage = max(now.Sub(s.OutageEndedAt), time.Millisecond)
 			}
