explainer, dispatcher: the line of a failed attempt has the parts of its prompt

Cause: when an endpoint ends, no line says which prompts it held or which responses had begun, so requests that crash endpoints cannot be told from those that were only there. Change: a failed attempt logs the names of the prompt parts that other requests may share, and whether the response had begun; explain prints both.

--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -50,6 +50,8 @@
 	FieldListVersion     = "list-version"
 	FieldListAge         = "list-age-ms"
 	FieldListSource      = "list-source"
+	FieldBegun           = "begun"
+	FieldParts           = "parts"
 )
 
 // The kinds of decision.
@@ -143,11 +145,27 @@
 		Str(FieldReason, err.Error()).Msg("prefill failed")
 }
 
+// FailedAttempt describes an attempt that has failed.
+type FailedAttempt struct {
+	Request  string
+	Endpoint string
+	// Attempt counts the attempts of the request from 1.
+	Attempt int
+	// Begun means that the endpoint had begun its response.
+	Begun bool
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []string
+	Err   error
+}
+
 // LogAttempt logs a failed attempt.
-func LogAttempt(log zerolog.Logger, requestID, endpoint string, attempt int, err error) {
-	f := coder.FromError(err)
-	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, requestID).Str(FieldEndpoint, endpoint).
-		Int(FieldAttempt, attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+func LogAttempt(log zerolog.Logger, a FailedAttempt) {
+	f := coder.FromError(a.Err)
+	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, a.Request).Str(FieldEndpoint, a.Endpoint).
+		Int(FieldAttempt, a.Attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+	if len(a.Parts) > 0 {
+		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts)
+	}
 	withCause(line, f).Msg("attempt failed")
 }
 
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -32,7 +32,10 @@
 		FetchFrom: "10.0.0.9:80",
 	}, explainer.ListState{Version: 42, Age: 700 * time.Millisecond, Source: "10.0.0.2:70"})
 	explainer.LogPrefillFailure(log, "req-3", "engine-2", coder.New(coder.ConnectionLost, "connection reset"))
-	explainer.LogAttempt(log, "req-3", "engine-1", 1, coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"))
+	explainer.LogAttempt(log, explainer.FailedAttempt{
+		Request: "req-3", Endpoint: "engine-1", Attempt: 1, Parts: []string{"5c1e07a2", "91bd3f06"},
+		Err: coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"),
+	})
 	explainer.LogEnd(log, explainer.RequestEnd{
 		Request: "req-3", Account: "baden", Deployment: "wichse-llm", Route: "batch", Endpoint: "engine-1",
 		Status: 502, Attempts: 2, Config: 7, Duration: 80 * time.Millisecond, Err: coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"),
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -41,6 +41,10 @@
 	Cause      string
 	Route      string
 	Status     int
+	// Parts are the shared parts of the prompt of a failed attempt, Begun says that the
+	// response to it had begun.
+	Parts []string
+	Begun bool
 	// OtherFigures are the figures of the other fields.
 	OtherFigures []string
 }
@@ -112,6 +116,7 @@
 		_, _ = fmt.Fprintf(&b, "  %s did not prefill the prompt: %s\n", l.Endpoint, l.Reason)
 	case l.Decision == Attempt:
 		_, _ = fmt.Fprintf(&b, "  failed at %s, %s, code %d: %s%s\n", l.Endpoint, l.Outcome, l.Code, l.Reason, l.causeText())
+		l.writeParts(&b)
 	case l.Decision == End && l.Code != 0:
 		_, _ = fmt.Fprintf(&b, "  %s, code %d: %s%s%s\n", l.Outcome, l.Code, l.Reason, l.causeText(), l.retryText())
 	case l.Decision == End:
@@ -149,6 +154,18 @@
 	return b.String()
 }
 
+// writeParts writes the shared parts of the prompt, if there are any.
+func (l Line) writeParts(b *strings.Builder) {
+	if len(l.Parts) == 0 {
+		return
+	}
+	state := "not begun"
+	if l.Begun {
+		state = "begun"
+	}
+	_, _ = fmt.Fprintf(b, "  response %s, prompt parts %s\n", state, strings.Join(l.Parts, ", "))
+}
+
 // causeText returns the cause of a failure, or "".
 func (l Line) causeText() string {
 	if l.Cause == "" {
@@ -199,6 +216,13 @@
 		l.Orders, err = decodeList(d)
 	case FieldRejected:
 		l.Rejected, err = decodeList(d)
+	case FieldParts:
+		l.Parts, err = decodeList(d)
+	case FieldBegun:
+		if d.Next() != jx.Bool {
+			return d.Skip()
+		}
+		l.Begun, err = d.Bool()
 	case FieldFigures:
 		l.Figures, err = decodeFigures(d)
 	case FieldBasis, FieldPrefillBasis:
--- a/internal/decision/indexer/chain.go
+++ b/internal/decision/indexer/chain.go
@@ -48,6 +48,8 @@
 
 // Segment is a part of a prompt that is identified by its caller.
 type Segment struct {
+	// Name is what the caller calls the part; ID is the hash of it.
+	Name   string
 	ID     uint64
 	Tokens int
 }
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -117,6 +117,19 @@
 	return r
 }
 
+// SharedParts returns the names of the prompt parts that other requests may share: all
+// but the last.
+func (r Request) SharedParts() []string {
+	if len(r.PromptParts) < 2 {
+		return nil
+	}
+	shared := make([]string, len(r.PromptParts)-1)
+	for i := range shared {
+		shared[i] = r.PromptParts[i].Name
+	}
+	return shared
+}
+
 // Work returns the estimated cost of the request to an engine, in tokens.
 func (r Request) Work() int { return r.PromptTokens + r.MaxTokens }
 
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -174,7 +174,9 @@
 	if a.Source.ID != "" {
 		work = 0
 	}
+	begun := false
 	a.OnFirstData = func() {
+		begun = true
 		d.Endpoints.RecordPrefilled(e.ID, work)
 		work = 0
 		c.result.FirstDataAt = d.Clock.Now()
@@ -182,7 +184,7 @@
 	}
 	d.Endpoints.RecordSent(e.ID, work)
 	rep := d.Forwarder.Forward(c.job.ctx, a, c.writer)
-	d.recordAttempt(c, e, work, rep)
+	d.recordAttempt(c, e, work, rep, begun)
 	if c.probablyRan(rep) {
 		d.reportBegun(c)
 	}
@@ -193,8 +195,9 @@
 	return rep
 }
 
-// recordAttempt records what an attempt implies for its endpoint.
-func (d *Dispatcher) recordAttempt(c *execution, e picker.Endpoint, work int, rep forwarder.Report) {
+// recordAttempt records what an attempt implies for its endpoint, which had begun its
+// response or not.
+func (d *Dispatcher) recordAttempt(c *execution, e picker.Endpoint, work int, rep forwarder.Report, begun bool) {
 	c.attempts++
 	c.result.Attempts = c.attempts
 	if rep.HasLoad {
@@ -203,7 +206,9 @@
 	d.Endpoints.RecordDone(e.ID, work, c.classify(rep.Attempt.Err()), c.rule)
 	if err := rep.Attempt.Err(); err != nil {
 		c.freshConnection = c.freshConnection || coder.Is(err, coder.ConnectionLost)
-		explainer.LogAttempt(d.Log, c.job.request.ID, e.ID, c.attempts, err)
+		explainer.LogAttempt(d.Log, explainer.FailedAttempt{
+			Request: c.job.request.ID, Endpoint: e.ID, Attempt: c.attempts, Begun: begun, Parts: c.job.request.SharedParts(), Err: err,
+		})
 	}
 }
 
