quarantiner, attributor: prompts that crash endpoint after endpoint are refused

Callers saw: requests with one part in common crashed each endpoint that began to answer them, and every stream there broke.

Cause: each end of an endpoint was a failed attempt of each request there and nothing else. No code related it to the prompts that the endpoint held, on one node or between them.

Change: a node reports the parts of prompts to which an endpoint had not begun to respond when it ended (its address refuses connections, it had not announced that it leaves). Reports go through the hubs at once and without the store. Three ends in common that no complete response has cleared blame a part, and explain those ends, so that popular parts are not blamed for them. Ends in the same moment are one event. Prompts with the part get 400 (code 112), which callers do not repeat. The finding is stored and outlives the nodes; a node is ready once it has read it and has heard its hub. Until then suspects go to endpoints one at a time, to the one with the fewest requests, and are not repeated.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -25,6 +25,7 @@
 	CommandUsage    Code = 109
 	DecisionUnknown Code = 110
 	HeaderTooLarge  Code = 111
+	PromptHarmful   Code = 112
 
 	KeyMissing         Code = 201
 	KeyUnknown         Code = 202
@@ -52,6 +53,7 @@
 	WouldMissTime   Code = 406
 	ShuttingDown    Code = 407
 	ConnectionsFull Code = 408
+	PromptSuspected Code = 409
 
 	EndpointUnreachable Code = 501
 	EndpointFailed      Code = 502
--- a/internal/base/roundtripper/transport.go
+++ b/internal/base/roundtripper/transport.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// Connect opens a connection to an address and keeps it for the next request.
+func (t *Transport) Connect(ctx context.Context, address string) error {
+	t.reserve(address, 0)
+	conn, err := t.Dial(ctx, address)
+	if err != nil {
+		t.cancelReservation(address)
+		return err
+	}
+	t.putIdle(newConnection(conn, address), t.IdleTimeout)
+	return nil
+}
+
 // connect returns an idle connection, or a new one.
 func (t *Transport) connect(ctx context.Context, address string, limit int) (*connection, error) {
 	if c := t.takeIdle(address, t.Clock.Now()); c != nil {
--- /dev/null
+++ b/internal/decision/attributor/assess.go
@@ -0,0 +1,191 @@
+package attributor
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MinCrashes is the number of crashes that convict a pattern.
+	MinCrashes = 3
+	// SettleTime is how long after a crash it counts only as a suspicion: the reports
+	// of all nodes, and good responses that clear a part, may still be on their way.
+	SettleTime = 1200 * time.Millisecond
+	// groupTime is the time within which crashes count as one event: endpoints that
+	// fail together, as with a rack, are no evidence against what only some of them
+	// held.
+	groupTime = 50 * time.Millisecond
+)
+
+// Pattern is a set of prompt parts, sorted by name. A prompt matches it if it has all
+// of them.
+type Pattern []string
+
+// Key returns a short name of the pattern.
+func (p Pattern) Key() string {
+	return strconv.FormatUint(xxhash.Sum64String(strings.Join(p, ",")), 16)
+}
+
+// Matches reports whether all parts of the pattern are among parts.
+func (p Pattern) Matches(parts []string) bool {
+	for _, name := range p {
+		if !slices.Contains(parts, name) {
+			return false
+		}
+	}
+	return len(p) > 0
+}
+
+// Finding is a pattern that several crashes have in common.
+type Finding struct {
+	Pattern Pattern
+	// Endpoints are those that have crashed.
+	Endpoints []string
+}
+
+// Suspicion is what is held against one part.
+type Suspicion struct {
+	// Crashes is the number of events that nothing else explains.
+	Crashes int
+	// HoldUntil is when a decision on the part is due; the zero time means that there
+	// are too few crashes for one.
+	HoldUntil time.Time
+}
+
+// Assessment is what the evidence says at a time.
+type Assessment struct {
+	Findings []Finding
+	// Suspects are the parts with crashes that no finding explains.
+	Suspects map[string]Suspicion
+	// Next is when the assessment changes without further evidence; the zero time means
+	// never.
+	Next time.Time
+}
+
+// group is one event: crashes within groupTime.
+type group struct {
+	crashes []Crash
+	// common are the parts that are suspects of all of them.
+	common  []string
+	settles time.Time
+}
+
+// Assess returns what the evidence says. Crashes that a known pattern explains are no
+// evidence against anything else.
+func (e Evidence) Assess(now time.Time, known []Pattern) Assessment {
+	groups := e.groups()
+	for _, p := range known {
+		groups = without(groups, p)
+	}
+	var a Assessment
+	for {
+		f, ok := strongest(groups, now)
+		if !ok {
+			break
+		}
+		a.Findings = append(a.Findings, f)
+		groups = without(groups, f.Pattern)
+	}
+	a.Suspects = make(map[string]Suspicion)
+	for _, g := range groups {
+		for _, p := range g.common {
+			s := a.Suspects[p]
+			s.Crashes++
+			a.Suspects[p] = s
+		}
+		if now.Before(g.settles) && (a.Next.IsZero() || g.settles.Before(a.Next)) {
+			a.Next = g.settles
+		}
+	}
+	for _, g := range groups {
+		for _, p := range g.common {
+			if s := a.Suspects[p]; s.Crashes >= MinCrashes && g.settles.After(s.HoldUntil) {
+				s.HoldUntil = g.settles
+				a.Suspects[p] = s
+			}
+		}
+	}
+	return a
+}
+
+// groups returns the events, in the order of time.
+func (e Evidence) groups() []group {
+	var groups []group
+	for _, c := range e.Since(0) {
+		if c.Refuted {
+			continue
+		}
+		last := len(groups) - 1
+		if last < 0 || c.EndedAt.Sub(groups[last].crashes[0].EndedAt) > groupTime {
+			groups = append(groups, group{common: c.suspected()})
+			last++
+		}
+		g := &groups[last]
+		g.crashes = append(g.crashes, c)
+		g.settles = c.EndedAt.Add(SettleTime)
+		g.common = intersection(g.common, c.suspected())
+	}
+	return groups
+}
+
+// intersection returns the elements of a that are also in b, which is sorted.
+func intersection(a, b []string) []string {
+	var both []string
+	for _, p := range a {
+		if _, ok := slices.BinarySearch(b, p); ok {
+			both = append(both, p)
+		}
+	}
+	return both
+}
+
+// without returns the groups that a pattern does not explain.
+func without(groups []group, p Pattern) []group {
+	var rest []group
+	for _, g := range groups {
+		if !p.Matches(g.common) {
+			rest = append(rest, g)
+		}
+	}
+	return rest
+}
+
+// strongest returns the parts that the most settled groups have in common, if those
+// are enough. Parts that were there each time together cannot be told apart, and only
+// prompts with all of them are known to crash endpoints.
+func strongest(groups []group, now time.Time) (f Finding, ok bool) {
+	members := make(map[string][]int)
+	for i, g := range groups {
+		if now.Before(g.settles) {
+			continue
+		}
+		for _, p := range g.common {
+			members[p] = append(members[p], i)
+		}
+	}
+	var best []int
+	for _, in := range members {
+		if len(in) > len(best) || len(in) == len(best) && slices.Compare(in, best) < 0 {
+			best = in
+		}
+	}
+	if len(best) < MinCrashes {
+		return Finding{}, false
+	}
+	for p, in := range members {
+		if slices.Equal(in, best) {
+			f.Pattern = append(f.Pattern, p)
+		}
+	}
+	slices.Sort(f.Pattern)
+	for _, i := range best {
+		for _, c := range groups[i].crashes {
+			f.Endpoints = append(f.Endpoints, c.Endpoint)
+		}
+	}
+	return f, true
+}
--- a/internal/decision/placer/estimate.go
+++ b/internal/decision/placer/estimate.go
@@ -161,6 +161,9 @@
 func (c *comparison) decodeCost(e *picker.Endpoint) cost {
 	n := float64(e.Sent) + c.remoteRequests(e)
 	p := n * requestWeight
+	if c.Requirements.Isolate {
+		p = n * isolatedRequestWeight
+	}
 	slots := e.Slots
 	if slots == 0 {
 		slots = c.Slots
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -49,6 +49,9 @@
 	PrefillSource string
 	// NoHandover is set if the engine that decodes must also prefill the prompt.
 	NoHandover bool
+	// Isolate is set if the request may crash the engine that decodes it: the fewer
+	// requests that has, the better.
+	Isolate bool
 	// Remaining is the remaining time until the response is late; 0 or less
 	// means that it is late already.
 	Remaining time.Duration
@@ -72,6 +75,8 @@
 	// requestWeight is the slowdown that an in-flight request causes to the others
 	// of an engine.
 	requestWeight = 0.8
+	// isolatedRequestWeight is the cost of an in-flight request that may be lost.
+	isolatedRequestWeight = 100.0
 	// queueWeight is the cost of a request that is queued for a slot.
 	queueWeight = 40.0
 	// maxSpread bounds a cost that differs between otherwise equal engines, so that
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -37,6 +37,7 @@
 		Work:        encodeWork(u.Work),
 		Beginnings:  convertAll(u.Prefixes, encodePrefixReport),
 		Usage:       convertAll(u.Usage, encodeUsage),
+		Crashes:     convertAll(u.Crashes, encodeCrash),
 	}
 }
 
@@ -51,6 +52,7 @@
 		Work:        decodeWork(m.GetWork()),
 		Prefixes:    convertAll(m.GetBeginnings(), decodePrefixReport),
 		Usage:       convertAll(m.GetUsage(), decodeUsage),
+		Crashes:     convertAll(m.GetCrashes(), decodeCrash),
 	}
 }
 
@@ -60,6 +62,7 @@
 		Nodes:      toUint32(s.Nodes),
 		Work:       encodeWork(s.Work),
 		Beginnings: convertAll(s.Prefixes, encodePrefixReport),
+		Crashes:    convertAll(s.Crashes, encodeCrash),
 	}
 	if s.ConfigFreshness.Age >= 0 {
 		m.Evidence = &EvidenceMessage{Version: s.ConfigFreshness.Version, AgeMs: milliseconds(s.ConfigFreshness.Age)}
@@ -73,6 +76,7 @@
 		Nodes:           int(m.GetNodes()),
 		Work:            decodeWork(m.GetWork()),
 		Prefixes:        convertAll(m.GetBeginnings(), decodePrefixReport),
+		Crashes:         convertAll(m.GetCrashes(), decodeCrash),
 		ConfigFreshness: ConfigFreshness{Age: -1},
 	}
 	if e := m.GetEvidence(); e != nil {
@@ -123,6 +127,14 @@
 	return PrefixReport{Engine: EngineHash(m.GetEngine()), Keys: m.GetKeys(), Age: duration(m.GetAgeMs())}
 }
 
+func encodeCrash(c CrashReport) *CrashMessage {
+	return &CrashMessage{Endpoint: c.Endpoint, AgeMs: milliseconds(c.Age), Suspects: c.Suspects, Cleared: c.Cleared, Refuted: c.Refuted}
+}
+
+func decodeCrash(m *CrashMessage) CrashReport {
+	return CrashReport{Endpoint: m.GetEndpoint(), Age: duration(m.GetAgeMs()), Suspects: m.GetSuspects(), Cleared: m.GetCleared(), Refuted: m.GetRefuted()}
+}
+
 func encodeUsage(u NodeUsage) *UsageMessage {
 	return &UsageMessage{Node: u.Node, Window: u.Window, Counts: convertAll(u.Counts, func(c MeterCount) *CountMessage {
 		return &CountMessage{Account: c.Meter.Account, Model: c.Meter.Model, Unit: string(c.Meter.Unit), Count: uint64(max(c.Count, 0))}
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -51,6 +51,20 @@
 	Age    time.Duration
 }
 
+// CrashReport is what nodes know of the crash of one endpoint.
+type CrashReport struct {
+	// Endpoint is the identifier of the endpoint.
+	Endpoint string
+	// Age is the time since the crash.
+	Age time.Duration
+	// Suspects are the parts of the prompts to which the endpoint had not begun to
+	// respond, Cleared those of them that were answered completely since.
+	Suspects []string
+	Cleared  []string
+	// Refuted means that the endpoint did not crash.
+	Refuted bool
+}
+
 // Unit is what a meter counts.
 type Unit string
 
@@ -177,6 +191,7 @@
 	Work     Work
 	Prefixes []PrefixReport
 	Usage    []NodeUsage
+	Crashes  []CrashReport
 }
 
 // ConfigFreshness is the latest confirmation that a version of the configuration is the
@@ -195,6 +210,7 @@
 	Nodes           int
 	Work            Work
 	Prefixes        []PrefixReport
+	Crashes         []CrashReport
 	ConfigFreshness ConfigFreshness
 }
 
--- a/internal/member/collector/collector.go
+++ b/internal/member/collector/collector.go
@@ -70,6 +70,17 @@
 	Merge(counts []courier.NodeUsage, local bool)
 }
 
+// Crashes holds what nodes know of crashed endpoints.
+type Crashes interface {
+	// ChangedSince returns the reports that have changed after a revision, and the
+	// current revision.
+	ChangedSince(revision uint64) ([]courier.CrashReport, uint64)
+	// Merge takes reports of other nodes.
+	Merge(reports []courier.CrashReport)
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
 // The intervals and timeouts of updates.
 const (
 	// updateInterval is how often a node sends updates while its work changes.
@@ -97,6 +108,8 @@
 	Dialer Dialer
 	Work   WorkTracker
 	Usage  UsageLedger
+	// Crashes are exchanged at once: the next request may crash the next endpoint.
+	Crashes Crashes
 
 	mu         sync.Mutex
 	members    map[string]*member
@@ -117,9 +130,16 @@
 // member is a node that has joined this one.
 type member struct {
 	receivedUpdate
-	// prefixesSent is the sequence number of the last prefix that the node was
-	// sent.
-	prefixesSent uint64
+	// sent is what the node was sent; the hub does not send usage.
+	sent cursor
+}
+
+// cursor is the position up to which a node was sent what has changed: the sequence
+// number of the last prefix, and the revisions of the usage and of the crashes.
+type cursor struct {
+	prefixes uint64
+	usage    uint64
+	crashes  uint64
 }
 
 // RecordPrefixes records the keys of the prefixes on which an engine works for
@@ -212,6 +232,17 @@
 	}
 }
 
+// pause waits for d, or until there is news of a crash.
+func (c *Collector) pause(ctx context.Context, d time.Duration, crash <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-crash:
+	case <-c.Clock.After(d):
+	}
+	return nil
+}
+
 // applyTotal sets the work of the other nodes from the updates this hub has
 // received.
 func (c *Collector) applyTotal() {
--- a/internal/member/collector/collector_test.go
+++ b/internal/member/collector/collector_test.go
@@ -17,7 +17,9 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
 
+	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/decision/attributor"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/member/collector"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
@@ -25,7 +27,8 @@
 )
 
 // TestScripts guards against nodes that use the load of stopped nodes, count a
-// load twice, or stay without a hub. Each command is a fault, a change of work or
+// load twice, or stay without a hub, and against reports of crashed endpoints that
+// some of them do not get. Each command is a fault, a change of work or
 // passing time; the output is what each node knows of the others. Time is that of
 // a synctest bubble.
 func TestScripts(t *testing.T) {
@@ -99,6 +102,38 @@
 	prefixes []string
 	// confirmation is the last confirmation of the newest configuration.
 	confirmation confirmation
+	crashes      crashes
+}
+
+// crashes are the reports of crashed endpoints that a node has.
+type crashes struct {
+	cell keeper.Cell[attributor.Evidence]
+}
+
+// ChangedSince returns the reports that have changed after a revision.
+func (c *crashes) ChangedSince(revision uint64) (reports []courier.CrashReport, current uint64) {
+	e := c.cell.Get()
+	for _, x := range e.Since(revision) {
+		reports = append(reports, courier.CrashReport{Endpoint: x.Endpoint, Age: time.Since(x.EndedAt), Suspects: x.Suspects})
+	}
+	return reports, e.Revision()
+}
+
+// Merge takes reports.
+func (c *crashes) Merge(reports []courier.CrashReport) {
+	c.cell.Update(func(e attributor.Evidence) (attributor.Evidence, bool) {
+		before := e.Revision()
+		for _, r := range reports {
+			e = e.WithCrash(attributor.Crash{Endpoint: r.Endpoint, EndedAt: time.Now().Add(-r.Age), Suspects: r.Suspects})
+		}
+		return e, e.Revision() != before
+	})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *crashes) Changed() <-chan struct{} {
+	_, changed := c.cell.Watch()
+	return changed
 }
 
 type confirmation struct {
@@ -212,7 +247,7 @@
 	self := registrar.Node{ID: name, Address: name, DataCentre: name[:1], Incarnation: uint64(time.Now().UnixNano())}
 	n := &node{cluster: c, stop: stop, ledger: &ledger.Ledger{Self: name}}
 	n.collector = &collector.Collector{
-		Clock: timekeeper.System{}, Log: zerolog.Nop(), Self: self, Nodes: c, Dialer: n, Work: n, Usage: n.ledger,
+		Clock: timekeeper.System{}, Log: zerolog.Nop(), Self: self, Nodes: c, Dialer: n, Work: n, Usage: n.ledger, Crashes: &n.crashes,
 	}
 	c.mu.Lock()
 	c.rows = append(slices.DeleteFunc(c.rows, func(r registrar.Node) bool { return r.ID == name }), self)
@@ -254,6 +289,8 @@
 	case "count":
 		c.node(arg(0)).ledger.Count(1, courier.Meter{Account: arg(1), Unit: courier.Requests}, 1)
 		return ""
+	case "crash", "crashes":
+		return c.crashCommand(d)
 	case "resign":
 		c.resign(arg(0))
 		return ""
@@ -282,6 +319,25 @@
 	return ""
 }
 
+// crashCommand records a crash on a node, or returns the crashes that each node knows,
+// with their suspects.
+func (c *cluster) crashCommand(d *datadriven.TestData) string {
+	if d.Cmd == "crash" {
+		name := d.CmdArgs[0].Key
+		c.node(name).crashes.Merge([]courier.CrashReport{{Endpoint: d.CmdArgs[1].Key, Suspects: []string{"part-" + name}}})
+		return ""
+	}
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(c.nodes)) {
+		fmt.Fprintf(&b, "%s:", name)
+		for _, x := range c.nodes[name].crashes.cell.Get().Since(0) {
+			fmt.Fprintf(&b, " %s %v", x.Endpoint, x.Suspects)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
 // resign removes the row of a node.
 func (c *cluster) resign(name string) {
 	c.mu.Lock()
--- a/internal/member/collector/follow.go
+++ b/internal/member/collector/follow.go
@@ -109,11 +109,13 @@
 
 // applySummary takes a summary of the hub of this data centre.
 func (c *Collector) applySummary(hub registrar.Node, s courier.Summary) {
-	c.setHub(hub.ID)
 	c.Work.SetRemoteWork(s.Work, c.Clock.Now())
 	for _, p := range s.Prefixes {
 		c.Work.AddPrefix(p)
 	}
+	c.Crashes.Merge(s.Crashes)
+	// Last, since a node that has a hub knows what the others know.
+	c.setHub(hub.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nodeCount = s.Nodes
@@ -122,14 +124,15 @@
 // sendUpdates sends updates until ctx is done, the hub times out, or another node
 // ranks before the hub.
 func (c *Collector) sendUpdates(ctx context.Context, hub registrar.Node, stream Stream, responses *responseTracker) error {
-	var sequence, revision uint64
+	var sent cursor
 	var lastWork courier.Work
 	lastSent := time.Time{}
 	for {
 		now := c.Clock.Now()
+		crash := c.Crashes.Changed()
 		var u courier.NodeUpdate
-		u, sequence, revision = c.nextUpdate(sequence, revision)
-		unchanged := u.Work.Equal(lastWork) && len(u.Prefixes) == 0 && len(u.Usage) == 0
+		u, sent = c.nextUpdate(sent)
+		unchanged := u.Work.Equal(lastWork) && len(u.Prefixes) == 0 && len(u.Usage) == 0 && len(u.Crashes) == 0
 		if !unchanged || now.Sub(lastSent) >= idleUpdateInterval {
 			responses.recordSent(u.Number)
 			if err := stream.Send(u); err != nil {
@@ -137,7 +140,7 @@
 			}
 			lastSent, lastWork = now, u.Work
 		}
-		if err := c.Clock.Sleep(ctx, updateInterval); err != nil {
+		if err := c.pause(ctx, updateInterval, crash); err != nil {
 			return nil
 		}
 		if responses.timedOut(now) {
@@ -149,19 +152,19 @@
 	}
 }
 
-// nextUpdate returns an update with this node's work, its prefixes after a
-// sequence number and its usage after a revision. It also returns the sequence
-// number and the revision for the next update.
-func (c *Collector) nextUpdate(sequence, revision uint64) (courier.NodeUpdate, uint64, uint64) {
-	usage, revision := c.Usage.ChangedSince(revision, true)
+// nextUpdate returns an update with this node's work and what has changed since the
+// last one, and the cursor for the next update.
+func (c *Collector) nextUpdate(sent cursor) (courier.NodeUpdate, cursor) {
+	usage, usageRevision := c.Usage.ChangedSince(sent.usage, true)
+	crashes, crashRevision := c.Crashes.ChangedSince(sent.crashes)
 	work := c.Work.LocalWork()
 	now := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.newUpdate()
-	u.Nodes, u.Work, u.Usage = 1, work, usage
-	u.Prefixes = c.prefixes.since(sequence, now, func(entry prefixEntry) bool { return entry.origin == c.Self.ID })
-	return u, c.prefixes.last, revision
+	u.Nodes, u.Work, u.Usage, u.Crashes = 1, work, usage, crashes
+	u.Prefixes = c.prefixes.since(sent.prefixes, now, func(entry prefixEntry) bool { return entry.origin == c.Self.ID })
+	return u, cursor{prefixes: c.prefixes.last, usage: usageRevision, crashes: crashRevision}
 }
 
 // newUpdate returns an update with the next number and no content; the caller
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -18,6 +18,7 @@
 	if len(u.Usage) > 0 {
 		c.Usage.Merge(u.Usage, !u.Hub)
 	}
+	c.Crashes.Merge(u.Crashes)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if u.Hub {
@@ -27,14 +28,16 @@
 	m := c.recordMember(u, now)
 	c.expire(now)
 	others, nodes := c.sum(u.Node)
+	crashes, crashRevision := c.Crashes.ChangedSince(m.sent.crashes)
 	out := courier.Summary{
 		Number:          u.Number,
 		Nodes:           nodes + 1,
 		Work:            courier.Sum(others, c.Work.LocalWork()),
-		Prefixes:        c.prefixes.since(m.prefixesSent, now, func(entry prefixEntry) bool { return entry.origin != u.Node }),
+		Prefixes:        c.prefixes.since(m.sent.prefixes, now, func(entry prefixEntry) bool { return entry.origin != u.Node }),
+		Crashes:         crashes,
 		ConfigFreshness: c.Work.ConfigFreshness(),
 	}
-	m.prefixesSent = c.prefixes.last
+	m.sent = cursor{prefixes: c.prefixes.last, crashes: crashRevision}
 	return out
 }
 
@@ -162,15 +165,16 @@
 	defer wg.Wait()
 	defer cancel(nil)
 	wg.Go(func() { cancel(c.receive(stream, responses, func(courier.Summary) {})) })
-	var sequence, revision uint64
+	var sent cursor
 	for c.IsHub() {
+		crash := c.Crashes.Changed()
 		var u courier.NodeUpdate
-		u, sequence, revision = c.nextHubUpdate(sequence, revision)
+		u, sent = c.nextHubUpdate(sent)
 		responses.recordSent(u.Number)
 		if err := stream.Send(u); err != nil {
 			return err
 		}
-		if err := c.Clock.Sleep(ctx, hubUpdateInterval); err != nil {
+		if err := c.pause(ctx, hubUpdateInterval, crash); err != nil {
 			return context.Cause(ctx)
 		}
 		if responses.timedOut(c.Clock.Now()) {
@@ -183,11 +187,11 @@
 	return nil
 }
 
-// nextHubUpdate returns an update with the totals of this data centre, its
-// prefixes after a sequence number and its usage after a revision. It also
-// returns the sequence number and the revision for the next update.
-func (c *Collector) nextHubUpdate(sequence, revision uint64) (courier.NodeUpdate, uint64, uint64) {
-	usage, revision := c.Usage.ChangedSince(revision, false)
+// nextHubUpdate returns an update with the totals of this data centre and what has
+// changed since the last one, and the cursor for the next update.
+func (c *Collector) nextHubUpdate(sent cursor) (courier.NodeUpdate, cursor) {
+	usage, usageRevision := c.Usage.ChangedSince(sent.usage, false)
+	crashes, crashRevision := c.Crashes.ChangedSince(sent.crashes)
 	own := c.Work.LocalWork()
 	now := c.Clock.Now()
 	c.mu.Lock()
@@ -198,7 +202,7 @@
 		works = append(works, m.update.Work)
 	}
 	u := c.newUpdate()
-	u.Hub, u.Nodes, u.Work, u.Usage = true, len(c.members)+1, courier.Sum(works...), usage
-	u.Prefixes = c.prefixes.since(sequence, now, func(entry prefixEntry) bool { return entry.local })
-	return u, c.prefixes.last, revision
+	u.Hub, u.Nodes, u.Work, u.Usage, u.Crashes = true, len(c.members)+1, courier.Sum(works...), usage, crashes
+	u.Prefixes = c.prefixes.since(sent.prefixes, now, func(entry prefixEntry) bool { return entry.local })
+	return u, cursor{prefixes: c.prefixes.last, usage: usageRevision, crashes: crashRevision}
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -32,6 +32,7 @@
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+	"foxtailflow.example/foxtailflow/internal/request/quarantiner"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
 )
 
@@ -49,10 +50,13 @@
 	lister       *lister.Lister
 	observer     *observer.Observer
 	index        *indexer.Index
+	quarantine   *quarantiner.Quarantine
+	harmful      *follower.Follower
 	dispatcher   *dispatcher.Dispatcher
 	members      members
 	duties       duties
 	components   Components
+	startedAt    time.Time
 	stopping     atomic.Bool
 
 	callers   *acceptor.Acceptor
@@ -86,6 +90,10 @@
 	// may be known later.
 	nodesWatchTimeout = 8 * time.Second
 	maxNodesAge       = 10 * time.Second
+	// harmfulWatchTimeout and maxHarmfulAge are the same for the prompts that crash
+	// endpoints; the nodes also tell each other of the crashes.
+	harmfulWatchTimeout = 8 * time.Second
+	maxHarmfulAge       = 10 * time.Second
 	// endpointChangeDelay batches the changes of a fleet that starts or drains, each
 	// of which would otherwise cost a call to the store. Work is kept from a draining
 	// endpoint that much later.
@@ -103,7 +111,7 @@
 
 // New builds a node and opens its listeners.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
-	n := &Node{settings: s, ports: p, clock: clock, log: log}
+	n := &Node{settings: s, ports: p, clock: clock, log: log, startedAt: clock.Now()}
 	n.config.Rank = keeper.RankConfig
 	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
@@ -130,9 +138,11 @@
 	}
 	n.index = &indexer.Index{}
 	n.observer.OnRemove = n.index.Forget
+	n.buildQuarantine()
 	n.buildMembers()
 	n.buildDuties()
 	n.members.collector.Usage = n.duties.ledger
+	n.members.collector.Crashes = n.quarantine
 	if p.Components != nil {
 		n.components = p.Components(n)
 	}
@@ -232,9 +242,34 @@
 	if !n.endpoints.Snapshot().Loaded() {
 		return coder.Refuse(coder.NoEndpoint, "the node has not read the endpoints yet")
 	}
+	if !n.knowsHarmfulPrompts() {
+		return coder.Refuse(coder.NoEndpoint, "the node does not know yet which prompts crash endpoints")
+	}
 	return n.CheckCurrent()
 }
 
+// joinTimeout is how long after its start a node waits for a hub until it serves
+// without one.
+const joinTimeout = 2 * time.Second
+
+// knowsHarmfulPrompts reports whether the node knows which prompts crash endpoints: it
+// has read the stored ones, and its hub has sent what is not stored yet.
+func (n *Node) knowsHarmfulPrompts() bool {
+	joined := n.members.collector.Hub() != "" || n.clock.Now().Sub(n.startedAt) > joinTimeout
+	return joined && n.harmful.Snapshot().Loaded()
+}
+
+// buildQuarantine builds what keeps prompts that crash endpoints away from them.
+func (n *Node) buildQuarantine() {
+	q := quarantiner.New()
+	q.Clock, q.Log, q.Table = n.clock, n.log, n.ports.Table
+	q.Endpoint = n.observer.Table.Get
+	q.Connect = n.ports.EndpointTransport.Connect
+	q.StoresFindings = func() bool { return n.members.collector.IsHub() }
+	n.quarantine = q
+	n.harmful = n.newFollower(quarantiner.KeyPrefix, harmfulWatchTimeout, maxHarmfulAge, q.Apply)
+}
+
 // buildDispatcher builds the dispatcher of requests.
 func (n *Node) buildDispatcher() {
 	q := n.components.Queue
@@ -250,14 +285,15 @@
 			Observer: n.observer, Index: n.index, NotifyPrefixes: n.recordPrefixes, Limits: n.Limits, Config: n.Config,
 			ListState: n.listState,
 		},
-		Endpoints: n.observer,
-		Forwarder: forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect},
-		Queue:     q,
-		Claims:    n.components.Claims,
-		Usage:     n.components.Usage,
-		Engines:   n.ports.Engines,
-		Random:    rand.Float64,
-		Nodes:     func() int { return n.members.collector.NodeCount() },
+		Endpoints:  n.observer,
+		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect},
+		Queue:      q,
+		Claims:     n.components.Claims,
+		Usage:      n.components.Usage,
+		Engines:    n.ports.Engines,
+		Quarantine: n.quarantine,
+		Random:     rand.Float64,
+		Nodes:      func() int { return n.members.collector.NodeCount() },
 	}
 	if n.components.Usage == nil {
 		n.dispatcher.OnBegun = n.countRequest
@@ -304,6 +340,8 @@
 	wg.Go(func() { n.configs.Run(tasks) })
 	wg.Go(func() { n.endpoints.Run(tasks) })
 	wg.Go(func() { n.runMembers(tasks) })
+	wg.Go(func() { n.harmful.Run(tasks) })
+	wg.Go(func() { n.quarantine.Run(tasks) })
 	for _, p := range n.periodicTasks() {
 		wg.Go(func() { p.Run(tasks, n.clock, n.log) })
 	}
@@ -347,6 +385,7 @@
 func (n *Node) periodicTasks() []runner.Periodic {
 	return slices.Concat(n.dutyTasks(), n.components.Tasks, []runner.Periodic{
 		{Name: "endpoint-list", Interval: listInterval, Task: n.observer.RefreshList},
+		{Name: "quarantine", Interval: quarantiner.AssessInterval, RetryInterval: time.Second, Task: n.quarantine.Assess},
 		{Name: "registration", Interval: registerInterval, Task: n.members.registrar.Register},
 		{Name: "connections", Interval: sweepInterval, Task: n.ports.EndpointTransport.CloseExpired},
 	})
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -234,7 +234,7 @@
 
 // Follow sends the content of a table and its changes.
 func (p peerService) Follow(ctx context.Context, prefix string, changed uint64, send func(courier.TableContent) error) error {
-	for _, f := range []*follower.Follower{p.node.configs, p.node.endpoints, p.node.members.nodes} {
+	for _, f := range []*follower.Follower{p.node.configs, p.node.endpoints, p.node.members.nodes, p.node.harmful} {
 		if f.Prefix == prefix {
 			return f.Serve(ctx, changed, send)
 		}
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -192,6 +192,9 @@
 	// NoHandover says that the prompt must be prefilled by the engine that
 	// generates the response.
 	NoHandover bool
+	// Isolate asks for the engine with the fewest requests, as this request may crash
+	// it.
+	Isolate bool
 }
 
 // Load is the load that an endpoint reports for itself.
--- a/internal/request/chooser/place.go
+++ b/internal/request/chooser/place.go
@@ -33,6 +33,7 @@
 			Tried:         p.Tried,
 			PrefillSource: p.Source.Address,
 			NoHandover:    p.NoHandover,
+			Isolate:       p.Isolate,
 			Remaining:     c.remainingTime(r, now),
 			Now:           now,
 		},
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -50,6 +50,11 @@
 	c := &execution{job: job, writer: w, rule: rule, initial: start, lastEventID: r.LastEventID, maxConnections: d.maxConnections(r.Route.Deployment)}
 	d.creditBudget(r, rule)
 	for {
+		if err := d.checkPrompt(r); err != nil {
+			c.refuse(err)
+			break
+		}
+		c.progress.Isolate = d.Quarantine != nil && d.Quarantine.Suspects(r)
 		if c.prefilled.handle.ID == "" && r.PromptTokens <= maxDirectPrompt && !d.budgetAllows(r, rule) {
 			// With separate prefill and decode engines, two engines may refuse the
 			// request.
@@ -117,12 +122,17 @@
 // considered.
 func (d *Dispatcher) attemptAt(c *execution, plan picker.Plan) bool {
 	e := plan.Run.Endpoint
-	rep := d.attempt(c, plan, false)
+	endTurn := d.enter(c)
+	if endTurn == nil {
+		return false
+	}
+	defer endTurn()
+	rep := d.attempt(c, plan, endTurn, false)
 	c.history = c.history.WithAttempt(rep.Attempt, rep.ResponseBegun)
 	c.apply(d, e, rep)
 	if c.result.Err != nil && c.resumableAtEngine(rep) {
 		resumed.Add(1)
-		rep = d.attempt(c, plan, true)
+		rep = d.attempt(c, plan, endTurn, true)
 		c.history = c.history.WithResumed(rep.Attempt)
 		c.apply(d, e, rep)
 	}
@@ -148,7 +158,9 @@
 		c.job.ctx.Err() == nil && coder.Is(rep.Attempt.Err(), coder.AnswerCut)
 }
 
-func (d *Dispatcher) attempt(c *execution, plan picker.Plan, resume bool) forwarder.Report {
+// attempt makes one attempt. It ends the turn of the request when the endpoint has begun
+// to respond.
+func (d *Dispatcher) attempt(c *execution, plan picker.Plan, endTurn func(), resume bool) forwarder.Report {
 	r, e := c.job.request, plan.Run.Endpoint
 	a := forwarder.Attempt{
 		Request:       r,
@@ -177,6 +189,7 @@
 	begun := false
 	a.OnFirstData = func() {
 		begun = true
+		endTurn()
 		d.Endpoints.RecordPrefilled(e.ID, work)
 		work = 0
 		c.result.FirstDataAt = d.Clock.Now()
@@ -204,6 +217,7 @@
 		d.Endpoints.RecordLoad(e.ID, rep.Load)
 	}
 	d.Endpoints.RecordDone(e.ID, work, c.classify(rep.Attempt.Err()), c.rule)
+	d.recordLife(c, e.ID, rep, begun)
 	if err := rep.Attempt.Err(); err != nil {
 		c.freshConnection = c.freshConnection || coder.Is(err, coder.ConnectionLost)
 		explainer.LogAttempt(d.Log, explainer.FailedAttempt{
@@ -300,7 +314,7 @@
 	if r.Route.Attempts > 0 {
 		request.MaxAttempts = r.Route.Attempts + maxRefusals
 	}
-	if c.history.Retry(request) != attempter.Allowed || c.job.ctx.Err() != nil {
+	if c.history.Retry(request) != attempter.Allowed || c.job.ctx.Err() != nil || !d.mayRepeat(c) {
 		return false
 	}
 	if !d.chargeRetry(c) {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -103,6 +103,27 @@
 	Release(ctx context.Context, h carrier.PromptHandle) error
 }
 
+// Quarantine keeps prompts that crash endpoints away from them.
+type Quarantine interface {
+	// Check refuses a request that must not be sent to an endpoint.
+	Check(r carrier.Request) error
+	// Suspects reports whether a request may crash an endpoint.
+	Suspects(r carrier.Request) bool
+	// Enter waits until a request that may crash an endpoint is the only one of its
+	// kind; done ends that. It fails if the request must not be sent any more.
+	Enter(ctx context.Context, r carrier.Request) (done func(), err error)
+	// MayRepeat reports whether a request that was at an endpoint when that ended may
+	// be sent to another one.
+	MayRepeat(r carrier.Request) bool
+	// RecordBroken records that the connection of a request broke before the endpoint
+	// had begun to respond.
+	RecordBroken(endpoint string, r carrier.Request)
+	// RecordResponse records that an endpoint has responded to a request sent at a time.
+	RecordResponse(endpoint string, sentAt time.Time)
+	// RecordAnswered records that a request was answered completely.
+	RecordAnswered(r carrier.Request)
+}
+
 // Job is a request in the queue.
 type Job struct {
 	// ctx ends at the deadline. For a request without a claim it also ends when
@@ -136,6 +157,8 @@
 	// Usage counts the usage of responses; nil means that nothing is counted.
 	Usage   Usage
 	Engines Engines
+	// Quarantine may be nil: then no prompt is kept away from endpoints.
+	Quarantine Quarantine
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	// OnBegun is called once for each request, when it has begun to run; it may
@@ -166,6 +189,10 @@
 	if !r.NeedsClaim() {
 		defer context.AfterFunc(ctx, cancel)()
 	}
+	if err := d.checkPrompt(r); err != nil {
+		refused.Add(1)
+		return carrier.Result{Err: err}
+	}
 	job := &Job{ctx: run, caller: ctx, request: r, writer: w, done: make(chan carrier.Result, 1)}
 	if err := d.Queue.Add(job); err != nil {
 		refused.Add(1)
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -48,6 +48,9 @@
 	c.attempts++
 	err := rep.Attempt.Err()
 	d.Endpoints.RecordDone(e.ID, work, c.classify(err), c.rule)
+	if d.Quarantine != nil && !rep.HeadAt.IsZero() {
+		d.Quarantine.RecordResponse(e.ID, rep.SentAt)
+	}
 	if err == nil {
 		c.prefilled = prefilledPrompt{handle: h, endpoint: e}
 		c.progress.Source = h
