--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -83,7 +83,7 @@
 		SilenceErrors: true,
 	}
 	root.PersistentFlags().StringVar(&o.output, "output", outputText, "form of the output: text or json")
-	root.AddCommand(nodeCommand(), configCommand(o), keyCommand(o), statusCommand(o), explainCommand(o))
+	root.AddCommand(nodeCommand(), configCommand(o), keyCommand(o), statusCommand(o), quarantineCommand(o), explainCommand(o))
 	return root
 }
 
--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -158,13 +158,16 @@
 	Err   error
 }
 
+// maxLoggedParts bounds the prompt parts in the line of an attempt.
+const maxLoggedParts = 8
+
 // LogAttempt logs a failed attempt.
 func LogAttempt(log zerolog.Logger, a FailedAttempt) {
 	f := coder.FromError(a.Err)
 	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, a.Request).Str(FieldEndpoint, a.Endpoint).
 		Int(FieldAttempt, a.Attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
 	if len(a.Parts) > 0 {
-		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts)
+		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts[:min(len(a.Parts), maxLoggedParts)])
 	}
 	withCause(line, f).Msg("attempt failed")
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -270,6 +270,14 @@
 	n.harmful = n.newFollower(quarantiner.KeyPrefix, harmfulWatchTimeout, maxHarmfulAge, q.Apply)
 }
 
+// Quarantined lists the prompt patterns that are refused because they crash endpoints.
+func (n *Node) Quarantined() []quarantiner.Entry { return n.quarantine.List() }
+
+// ReleaseQuarantined takes a prompt pattern out of force on all nodes.
+func (n *Node) ReleaseQuarantined(ctx context.Context, key string) error {
+	return n.quarantine.Release(ctx, key)
+}
+
 // buildDispatcher builds the dispatcher of requests.
 func (n *Node) buildDispatcher() {
 	q := n.components.Queue
--- a/internal/operator/requester/client.go
+++ b/internal/operator/requester/client.go
@@ -92,6 +92,21 @@
 	return decodeStatus(data)
 }
 
+// Quarantine lists the prompt patterns that are refused because they crash endpoints.
+func (c Client) Quarantine(ctx context.Context) ([]Pattern, error) {
+	data, err := c.call(ctx, http.MethodGet, "/quarantine", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	return decodePatterns(data)
+}
+
+// Release takes a prompt pattern out of force by its identifier.
+func (c Client) Release(ctx context.Context, id string) error {
+	_, err := c.call(ctx, http.MethodDelete, "/quarantine/"+url.PathEscape(id), nil, nil)
+	return err
+}
+
 func (c Client) change(ctx context.Context, method, path string, q url.Values, body []byte) (Change, error) {
 	data, err := c.call(ctx, method, path, q, body)
 	if err != nil {
--- a/internal/operator/requester/codec.go
+++ b/internal/operator/requester/codec.go
@@ -91,6 +91,14 @@
 	Duties         []string
 }
 
+// Pattern is a set of prompt parts; prompts that have all of them are refused.
+type Pattern struct {
+	ID    string
+	Parts []string
+	// Endpoints are those that have crashed under such prompts.
+	Endpoints []string
+}
+
 // decodeObject decodes the given fields of a JSON object and skips the others.
 func decodeObject(d *jx.Decoder, fields map[string]func(*jx.Decoder) error) error {
 	return d.Obj(func(d *jx.Decoder, name string) error {
@@ -229,6 +237,17 @@
 	return m, decodingError(err)
 }
 
+func decodePatterns(data []byte) (patterns []Pattern, err error) {
+	err = decodeObject(jx.DecodeBytes(data), map[string]func(*jx.Decoder) error{
+		"patterns": listDecoder(&patterns, func(p *Pattern) map[string]func(*jx.Decoder) error {
+			return map[string]func(*jx.Decoder) error{
+				"id": stringDecoder(&p.ID), "parts": stringsDecoder(&p.Parts), "endpoints": stringsDecoder(&p.Endpoints),
+			}
+		}),
+	})
+	return patterns, decodingError(err)
+}
+
 // decodeRefusal decodes the body of an error response. A body without a numeric
 // code does not come from a node.
 func decodeRefusal(status int, data []byte) error {
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -20,6 +20,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/applier"
 	"foxtailflow.example/foxtailflow/internal/config/merger"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
+	"foxtailflow.example/foxtailflow/internal/request/quarantiner"
 )
 
 // Server serves the operators' HTTP interface.
@@ -40,6 +41,10 @@
 	AwaitInForce(ctx context.Context, version uint64) bool
 	// Status returns the status of the node and of the other nodes it knows.
 	Status() Status
+	// Quarantined lists the prompt patterns that are refused, and ReleaseQuarantined
+	// takes one out of force by its key.
+	Quarantined() []quarantiner.Entry
+	ReleaseQuarantined(ctx context.Context, key string) error
 }
 
 // maxFileBytes is the size limit of a configuration file.
@@ -57,6 +62,8 @@
 	r.POST("/keys", s.handle(s.createKey))
 	r.DELETE("/keys/:id", s.handle(s.withdrawKey))
 	r.GET("/status", s.handle(s.status))
+	r.GET("/quarantine", s.handle(s.listQuarantine))
+	r.DELETE("/quarantine/:id", s.handle(s.releaseQuarantine))
 	return r
 }
 
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -10,8 +10,11 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 )
@@ -117,9 +120,14 @@
 	return r
 }
 
-// SharedParts returns the names of the prompt parts that other requests may share: all
-// but the last.
+// SharedParts returns the names of the prompt parts that other requests may share.
+//
+// Of the parts that the caller names, these are all but the last. Of a prompt that is
+// text, they are its prefixes, and the whole of it, by their hashes.
 func (r Request) SharedParts() []string {
+	if len(r.PromptParts) == 0 && len(r.Prompt) > 0 {
+		return textParts(r.Prompt)
+	}
 	if len(r.PromptParts) < 2 {
 		return nil
 	}
@@ -130,6 +138,15 @@
 	return shared
 }
 
+// textParts returns the hashes of the prefixes of a prompt and of the whole prompt.
+func textParts(prompt []byte) []string {
+	parts := make([]string, 0, indexer.MaxBlocks+1)
+	for _, h := range indexer.Chain(nil, prompt) {
+		parts = append(parts, "prefix-"+strconv.FormatUint(h, 16))
+	}
+	return append(parts, "prompt-"+strconv.FormatUint(xxhash.Sum64(prompt), 16))
+}
+
 // Work returns the estimated cost of the request to an engine, in tokens.
 func (r Request) Work() int { return r.PromptTokens + r.MaxTokens }
 
