attributor: a part that was answered before the crashes is blamed last

Cause: first, while all endpoints are down nothing clears the first part that most prompts share; it was at the crashes of each of the three parts, so it was in most and was blamed before them. Second, endpoints that crash in quick succession make two events of 50 ms, one too few; the third was the crash of an endpoint that came back, on each node. Change: nodes remember the parts that were answered last and add to a crash which of its suspects they know. Known parts need eight crashes and are blamed last; others need three, or two with four endpoints. A crash is counted in the evidence before it leaves the list of unconfirmed ones, as a request was repeated in between (TestNodes/crashing-repeats failed once the timing had changed).

--- a/internal/decision/attributor/assess.go
+++ b/internal/decision/attributor/assess.go
@@ -10,8 +10,15 @@
 )
 
 const (
-	// MinCrashes is the number of crashes that convict a pattern.
-	MinCrashes = 3
+	// minCrashes is the number of crashes, at different times, that blame a part. If
+	// endpoints crash in quick succession, two times and minEndpoints are enough.
+	minCrashes   = 3
+	minTimes     = 2
+	minEndpoints = 4
+	// minCrashesKnown is the same for a part that was answered before the crashes. A
+	// part that most prompts share is at each crash, and while all endpoints are down,
+	// nothing clears it.
+	minCrashesKnown = 8
 	// SettleTime is how long after a crash it counts only as a suspicion: the reports
 	// of all nodes, and good responses that clear a part, may still be on their way.
 	SettleTime = 1200 * time.Millisecond
@@ -49,13 +56,43 @@
 
 // Suspicion is what is held against one part.
 type Suspicion struct {
-	// Crashes is the number of events that nothing else explains.
-	Crashes int
+	// Crashes is the number of events that nothing else explains, Endpoints that of the
+	// endpoints that have crashed in them.
+	Crashes   int
+	Endpoints int
+	// Known means that the part was answered before one of them.
+	Known bool
 	// HoldUntil is when a decision on the part is due; the zero time means that there
 	// are too few crashes for one.
 	HoldUntil time.Time
 }
 
+// LikelyHarmful reports whether a prompt with the part is to be handled as one that may
+// crash its endpoint. A part that was answered before is more likely to be there by
+// chance.
+func (s Suspicion) LikelyHarmful() bool {
+	return s.Crashes > 0 && !s.Known || s.Crashes >= minCrashesKnown/2
+}
+
+// blamed reports whether the crashes are enough to blame the part.
+func (s Suspicion) blamed() bool {
+	if s.Known {
+		return s.Crashes >= minCrashesKnown
+	}
+	return s.Crashes >= minCrashes || s.Crashes >= minTimes && s.Endpoints >= minEndpoints
+}
+
+// with returns the suspicion after one more event.
+func (s Suspicion) with(part string, g group) Suspicion {
+	s.Crashes++
+	s.Endpoints += len(g.crashes)
+	s.Known = s.Known || slices.ContainsFunc(g.crashes, func(c Crash) bool {
+		_, ok := slices.BinarySearch(c.Known, part)
+		return ok
+	})
+	return s
+}
+
 // Assessment is what the evidence says at a time.
 type Assessment struct {
 	Findings []Finding
@@ -93,9 +130,7 @@
 	a.Suspects = make(map[string]Suspicion)
 	for _, g := range groups {
 		for _, p := range g.common {
-			s := a.Suspects[p]
-			s.Crashes++
-			a.Suspects[p] = s
+			a.Suspects[p] = a.Suspects[p].with(p, g)
 		}
 		if now.Before(g.settles) && (a.Next.IsZero() || g.settles.Before(a.Next)) {
 			a.Next = g.settles
@@ -103,7 +138,7 @@
 	}
 	for _, g := range groups {
 		for _, p := range g.common {
-			if s := a.Suspects[p]; s.Crashes >= MinCrashes && g.settles.After(s.HoldUntil) {
+			if s := a.Suspects[p]; s.blamed() && g.settles.After(s.HoldUntil) {
 				s.HoldUntil = g.settles
 				a.Suspects[p] = s
 			}
@@ -154,38 +189,52 @@
 	return rest
 }
 
-// strongest returns the parts that the most settled groups have in common, if those
-// are enough. Parts that were there each time together cannot be told apart, and only
-// prompts with all of them are known to crash endpoints.
+// strongest returns the parts that are blamed for the most settled groups. Parts that
+// were there each time together cannot be told apart, and only prompts with all of them
+// are known to crash endpoints. A part that was answered before is blamed only if no
+// other one is.
 func strongest(groups []group, now time.Time) (f Finding, ok bool) {
 	members := make(map[string][]int)
+	suspicions := make(map[string]Suspicion)
 	for i, g := range groups {
 		if now.Before(g.settles) {
 			continue
 		}
 		for _, p := range g.common {
 			members[p] = append(members[p], i)
+			suspicions[p] = suspicions[p].with(p, g)
 		}
 	}
-	var best []int
-	for _, in := range members {
-		if len(in) > len(best) || len(in) == len(best) && slices.Compare(in, best) < 0 {
-			best = in
+	best := ""
+	for p, s := range suspicions {
+		if s.blamed() && (best == "" || stronger(s, suspicions[best], members[p], members[best])) {
+			best = p
 		}
 	}
-	if len(best) < MinCrashes {
+	if best == "" {
 		return Finding{}, false
 	}
 	for p, in := range members {
-		if slices.Equal(in, best) {
+		if suspicions[p].Known == suspicions[best].Known && slices.Equal(in, members[best]) {
 			f.Pattern = append(f.Pattern, p)
 		}
 	}
 	slices.Sort(f.Pattern)
-	for _, i := range best {
+	for _, i := range members[best] {
 		for _, c := range groups[i].crashes {
 			f.Endpoints = append(f.Endpoints, c.Endpoint)
 		}
 	}
 	return f, true
 }
+
+// stronger reports whether the suspicion a, for some events, is stronger than b.
+func stronger(a, b Suspicion, inA, inB []int) bool {
+	if a.Known != b.Known {
+		return b.Known
+	}
+	if len(inA) != len(inB) {
+		return len(inA) > len(inB)
+	}
+	return slices.Compare(inA, inB) < 0
+}
--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -49,8 +49,11 @@
 func crash(t *testing.T, d *datadriven.TestData) attributor.Crash {
 	c := attributor.Crash{Endpoint: d.CmdArgs[0].Key, EndedAt: at(t, d)}
 	for _, a := range d.CmdArgs {
-		if a.Key == "suspects" {
+		switch a.Key {
+		case "suspects":
 			c = c.WithSuspects(a.Vals...)
+		case "known":
+			c = c.WithKnown(a.Vals...)
 		}
 	}
 	return c
@@ -86,6 +89,9 @@
 	for _, part := range slices.Sorted(maps.Keys(a.Suspects)) {
 		s := a.Suspects[part]
 		fmt.Fprintf(&b, "%s suspected of %d", part, s.Crashes)
+		if !s.LikelyHarmful() {
+			b.WriteString(", likely by chance")
+		}
 		if !s.HoldUntil.IsZero() {
 			fmt.Fprintf(&b, ", held until %d ms", s.HoldUntil.Sub(start).Milliseconds())
 		}
@@ -102,7 +108,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "revision %d\n", e.Revision())
 	for _, c := range e.Since(0) {
-		fmt.Fprintf(&b, "%s at %d ms: suspects %v, cleared %v, refuted %v\n", c.Endpoint, c.EndedAt.Sub(start).Milliseconds(), c.Suspects, c.Cleared, c.Refuted)
+		fmt.Fprintf(&b, "%s at %d ms: suspects %v, known %v, cleared %v, refuted %v\n", c.Endpoint, c.EndedAt.Sub(start).Milliseconds(), c.Suspects, c.Known, c.Cleared, c.Refuted)
 	}
 	return b.String()
 }
--- a/internal/decision/attributor/crash.go
+++ b/internal/decision/attributor/crash.go
@@ -21,9 +21,11 @@
 	// Endpoint identifies one start of the endpoint.
 	Endpoint string
 	EndedAt  time.Time
-	// Suspects are the parts of the prompts to which it had not begun to respond,
-	// Cleared those parts that were answered completely since; both are sorted.
+	// Suspects are the parts of the prompts to which it had not begun to respond. Known
+	// are those of them that had been answered before, Cleared those that were answered
+	// since. All are sorted.
 	Suspects []string
+	Known    []string
 	Cleared  []string
 	// Refuted means that the endpoint has responded to a later request, or had
 	// announced that it was leaving.
@@ -48,14 +50,26 @@
 // WithCleared returns a copy in which the given parts, as far as they are suspects,
 // are cleared.
 func (c Crash) WithCleared(parts ...string) Crash {
-	var cleared []string
+	c.Cleared = union(c.Cleared, c.among(parts), maxSuspects)
+	return c
+}
+
+// WithKnown returns a copy in which the given parts, as far as they are suspects, had
+// been answered before.
+func (c Crash) WithKnown(parts ...string) Crash {
+	c.Known = union(c.Known, c.among(parts), maxSuspects)
+	return c
+}
+
+// among returns those parts that are suspects.
+func (c Crash) among(parts []string) []string {
+	var out []string
 	for _, p := range parts {
 		if c.Has(p) {
-			cleared = append(cleared, p)
+			out = append(out, p)
 		}
 	}
-	c.Cleared = union(c.Cleared, cleared, maxSuspects)
-	return c
+	return out
 }
 
 // Has reports whether a part is among the suspects, cleared or not.
@@ -75,9 +89,11 @@
 func (c Crash) Merge(o Crash) (merged Crash, changed bool) {
 	merged = c
 	merged.Suspects = union(c.Suspects, o.Suspects, maxSuspects)
+	merged.Known = union(c.Known, o.Known, maxSuspects)
 	merged.Cleared = union(c.Cleared, o.Cleared, maxSuspects)
 	merged.Refuted = c.Refuted || o.Refuted
-	changed = len(merged.Suspects) != len(c.Suspects) || len(merged.Cleared) != len(c.Cleared) || merged.Refuted != c.Refuted
+	changed = len(merged.Suspects) != len(c.Suspects) || len(merged.Known) != len(c.Known) ||
+		len(merged.Cleared) != len(c.Cleared) || merged.Refuted != c.Refuted
 	if o.EndedAt.Before(c.EndedAt.Add(-endTolerance)) {
 		merged.EndedAt, changed = o.EndedAt, true
 	}
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -128,11 +128,11 @@
 }
 
 func encodeCrash(c CrashReport) *CrashMessage {
-	return &CrashMessage{Endpoint: c.Endpoint, AgeMs: milliseconds(c.Age), Suspects: c.Suspects, Cleared: c.Cleared, Refuted: c.Refuted}
+	return &CrashMessage{Endpoint: c.Endpoint, AgeMs: milliseconds(c.Age), Suspects: c.Suspects, Known: c.Known, Cleared: c.Cleared, Refuted: c.Refuted}
 }
 
 func decodeCrash(m *CrashMessage) CrashReport {
-	return CrashReport{Endpoint: m.GetEndpoint(), Age: duration(m.GetAgeMs()), Suspects: m.GetSuspects(), Cleared: m.GetCleared(), Refuted: m.GetRefuted()}
+	return CrashReport{Endpoint: m.GetEndpoint(), Age: duration(m.GetAgeMs()), Suspects: m.GetSuspects(), Known: m.GetKnown(), Cleared: m.GetCleared(), Refuted: m.GetRefuted()}
 }
 
 func encodeUsage(u NodeUsage) *UsageMessage {
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -58,8 +58,10 @@
 	// Age is the time since the crash.
 	Age time.Duration
 	// Suspects are the parts of the prompts to which the endpoint had not begun to
-	// respond, Cleared those of them that were answered completely since.
+	// respond. Known are those of them that had been answered completely before,
+	// Cleared those that were answered since.
 	Suspects []string
+	Known    []string
 	Cleared  []string
 	// Refuted means that the endpoint did not crash.
 	Refuted bool
--- a/internal/request/quarantiner/assess.go
+++ b/internal/request/quarantiner/assess.go
@@ -81,7 +81,7 @@
 	var reports []courier.CrashReport
 	for _, c := range e.Since(revision) {
 		reports = append(reports, courier.CrashReport{
-			Endpoint: c.Endpoint, Age: now.Sub(c.EndedAt), Suspects: c.Suspects, Cleared: c.Cleared, Refuted: c.Refuted,
+			Endpoint: c.Endpoint, Age: now.Sub(c.EndedAt), Suspects: c.Suspects, Known: c.Known, Cleared: c.Cleared, Refuted: c.Refuted,
 		})
 	}
 	return reports, e.Revision()
@@ -100,11 +100,11 @@
 				continue
 			}
 			c := attributor.Crash{Endpoint: r.Endpoint, EndedAt: now.Add(-r.Age), Refuted: r.Refuted}.
-				WithSuspects(r.Suspects...).WithSuspects(r.Cleared...).WithCleared(r.Cleared...)
+				WithSuspects(r.Suspects...).WithKnown(r.Known...).WithCleared(r.Cleared...)
 			if x, ok := q.Endpoint(r.Endpoint); ok && x.Leaving && r.Age < announcedAge {
 				c = c.WithRefuted()
 			}
-			e = e.WithCrash(c)
+			e = e.WithCrash(q.withKnown(c))
 		}
 		return e
 	})
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -55,6 +55,7 @@
 	refuted keeper.Table[string, bool]
 	// refusals has the time of the last refusal by the key of the pattern.
 	refusals keeper.Table[string, time.Time]
+	answered recentParts
 	turns    turns
 	checks   runner.Queue[string]
 	// assessMu allows one assessment at a time, so that the last one includes every
@@ -153,7 +154,7 @@
 	}
 	var out []string
 	for _, part := range r.SharedParts() {
-		if v.suspects[part].Crashes > 0 {
+		if v.suspects[part].LikelyHarmful() {
 			out = append(out, part)
 		}
 	}
@@ -179,15 +180,20 @@
 // MayRepeat reports whether a request that was there when an endpoint ended may be sent
 // to another one: a part that had been suspected before may end that one, too.
 func (q *Quarantine) MayRepeat(r carrier.Request) bool {
+	// Read before the view, as a crash goes from the one to the other.
+	unconfirmed := q.unconfirmed.Values()
 	v := q.view.Get()
 	for _, part := range r.SharedParts() {
-		ends := v.suspects[part].Crashes
-		q.unconfirmed.Each(func(_ string, c attributor.Crash) bool {
+		s := v.suspects[part]
+		if s.Known && !s.LikelyHarmful() {
+			continue
+		}
+		ends := s.Crashes
+		for _, c := range unconfirmed {
 			if c.Has(part) {
 				ends++
 			}
-			return true
-		})
+		}
 		if ends > 1 {
 			return false
 		}
@@ -238,14 +244,15 @@
 // RecordAnswered records that a request was answered completely, so that no part of
 // its prompt crashes endpoints.
 func (q *Quarantine) RecordAnswered(r carrier.Request) {
-	v := q.view.Get()
-	if len(v.patterns) == 0 && q.evidence.Get().Empty() {
-		return
-	}
 	parts := r.SharedParts()
 	if len(parts) == 0 {
 		return
 	}
+	q.answered.add(parts)
+	v := q.view.Get()
+	if len(v.patterns) == 0 && q.evidence.Get().Empty() {
+		return
+	}
 	q.change(func(e attributor.Evidence) attributor.Evidence { return e.WithAnswered(parts) })
 	for key, p := range v.patterns {
 		if p.Matches(parts) {
@@ -263,18 +270,20 @@
 // checkEndpoint finds out whether an endpoint under which connections broke has
 // crashed: then its address refuses connections.
 func (q *Quarantine) checkEndpoint(ctx context.Context, endpoint string) {
-	crashed := q.refusesConnections(ctx, endpoint)
-	var c attributor.Crash
-	q.unconfirmed.Update(endpoint, func(u attributor.Crash, _ bool) (attributor.Crash, bool) {
-		c = u
-		return u, false
+	crashed := q.refusesConnections(ctx, endpoint) && !q.leaving(endpoint)
+	if c, ok := q.unconfirmed.Get(endpoint); ok && crashed {
+		crashCount.Add(1)
+		q.Log.Warn().Str("endpoint", endpoint).Strs("parts", head(c.Suspects)).Int("suspects", len(c.Suspects)).Msg("endpoint crashed under requests")
+		q.add(c)
+	}
+	var last attributor.Crash
+	q.unconfirmed.Update(endpoint, func(c attributor.Crash, _ bool) (attributor.Crash, bool) {
+		last = c
+		return c, false
 	})
-	if !crashed || c.Endpoint == "" || q.leaving(endpoint) {
-		return
+	if crashed && last.Endpoint != "" {
+		q.add(last)
 	}
-	crashCount.Add(1)
-	q.Log.Warn().Str("endpoint", endpoint).Strs("parts", head(c.Suspects)).Int("suspects", len(c.Suspects)).Msg("endpoint crashed under requests")
-	q.add(c)
 }
 
 func (q *Quarantine) refusesConnections(ctx context.Context, endpoint string) bool {
@@ -296,9 +305,16 @@
 
 // add adds an account of a crash to the evidence.
 func (q *Quarantine) add(c attributor.Crash) {
+	c = q.withKnown(c)
 	q.change(func(e attributor.Evidence) attributor.Evidence { return e.WithCrash(c) })
 }
 
+// withKnown returns a crash with the suspects that this node knows to have been
+// answered before.
+func (q *Quarantine) withKnown(c attributor.Crash) attributor.Crash {
+	return c.WithKnown(q.answered.among(c.Suspects)...)
+}
+
 // change changes the evidence and assesses it if that says something new.
 func (q *Quarantine) change(f func(attributor.Evidence) attributor.Evidence) {
 	changed := false
