forwarder: a stream that ends with its connection before an event is cut off

Callers saw: an empty response with status 200 if an endpoint without a length or chunks ended after the head, as one that crashes may. It would also have cleared the prompt that crashed it. Cause: the end of a stream between two events counts as its end, also before the first one. Change: without a length or chunks, no event means that it broke off. Result: TestServe/streams failed before (200 and an empty body) and passes; the cases for a stream that ends after whole events, and inside one, passed before.

--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -210,6 +210,9 @@
 	for first := true; ; first = false {
 		data, err := readEvent(r)
 		if errors.Is(err, io.EOF) && !x.forwarder.Dialect.MarksEnd() {
+			if first && x.head.Undelimited {
+				return coder.New(coder.AnswerCut, "the stream ended with its connection before an event")
+			}
 			return x.begin(ctx, w)
 		}
 		if err != nil {
