pacer, roundtripper: the limits that endpoints name are logged

Change: the transport to endpoints passes each request and the head of each response to a gate; the pacer decodes limits through the adapter and logs when they begin, change and end. A limit ends by a response without one whose request was sent after the limit was received, as responses overtake each other.

--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -76,6 +76,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if t.Gate != nil {
+		if err := t.Gate.Admit(address); err != nil {
+			return nil, err
+		}
+	}
 	if o.NewConnection {
 		t.CloseIdle(address)
 	}
@@ -96,6 +101,7 @@
 	if o.OnSend != nil {
 		o.OnSend()
 	}
+	sentAt := t.Clock.Now()
 	x := &exchange{transport: t, conn: c, stop: context.AfterFunc(ctx, func() { _ = c.netConn.Close() })}
 	resp, err := x.run(req, head, o)
 	if err != nil {
@@ -105,6 +111,9 @@
 		}
 		return nil, sendError(ctx, address, c.reused, err)
 	}
+	if t.Gate != nil {
+		t.Gate.RecordResponse(address, sentAt, resp.Status, resp.Header)
+	}
 	return resp, nil
 }
 
--- a/internal/base/roundtripper/transport.go
+++ b/internal/base/roundtripper/transport.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -21,10 +22,20 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
+// Gate bounds the requests to an address by what its responses say.
+type Gate interface {
+	// Admit fails if no request may be sent to an address now.
+	Admit(address string) error
+	// RecordResponse takes the head of a response to a request that was sent at a time.
+	RecordResponse(address string, sentAt time.Time, status int, h http.Header)
+}
+
 // Transport sends requests over pooled connections.
 type Transport struct {
 	Clock timekeeper.Clock
 	Dial  DialFunc
+	// Gate may be nil.
+	Gate Gate
 	// IdleTimeout is how long an idle connection is kept at most. A shorter timeout
 	// that the peer announces takes precedence.
 	IdleTimeout time.Duration
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -248,6 +248,18 @@
 	return ok
 }
 
+// IDAt returns the identifier of the endpoint with an address.
+func (o *Observer) IDAt(address string) (id string, ok bool) {
+	o.Table.Each(func(_ string, e picker.Endpoint) bool {
+		// After a restart, the earlier start may still be listed as leaving.
+		if e.Address == address && (!ok || !e.Leaving) {
+			id, ok = e.ID, true
+		}
+		return true
+	})
+	return id, ok
+}
+
 // SetDraining marks an endpoint as draining or not.
 func (o *Observer) SetDraining(id string, draining bool) {
 	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithDraining(draining) })
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -28,6 +28,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/lister"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -50,6 +51,7 @@
 	lister       *lister.Lister
 	observer     *observer.Observer
 	index        *indexer.Index
+	pacer        *pacer.Pacer
 	quarantine   *quarantiner.Quarantine
 	harmful      *follower.Follower
 	dispatcher   *dispatcher.Dispatcher
@@ -137,7 +139,8 @@
 		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.index = &indexer.Index{}
-	n.observer.OnRemove = n.index.Forget
+	n.buildPacer()
+	n.observer.OnRemove = func(id string) { n.index.Forget(id); n.pacer.Forget(id) }
 	n.buildQuarantine()
 	n.buildMembers()
 	n.buildDuties()
@@ -259,6 +262,16 @@
 	return joined && n.harmful.Snapshot().Loaded()
 }
 
+// buildPacer builds what keeps requests to endpoints within the limits that these name.
+func (n *Node) buildPacer() {
+	n.pacer = &pacer.Pacer{
+		Clock: n.clock, Log: n.log, Decode: n.ports.DecodeRateLimit, EndpointAt: n.observer.IDAt,
+	}
+	if n.ports.DecodeRateLimit != nil {
+		n.ports.EndpointTransport.Gate = n.pacer
+	}
+}
+
 // buildQuarantine builds what keeps prompts that crash endpoints away from them.
 func (n *Node) buildQuarantine() {
 	q := quarantiner.New()
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -11,6 +11,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -102,7 +103,10 @@
 	EndpointKeyPrefix string
 	DecodeEndpoint    func(transactor.Row) (supplier.VM, error)
 	Dialect           forwarder.Dialect
-	Engines           dispatcher.Engines
+	// DecodeRateLimit returns what the head of a response says of the requests that the
+	// endpoint takes; nil means that endpoints name no limits.
+	DecodeRateLimit func(status int, h http.Header) (pacer.Statement, bool)
+	Engines         dispatcher.Engines
 	// Callers returns the handler for requests of callers.
 	Callers func(n *Node) http.Handler
 	// Components returns the additional components of the node; nil means none.
