pacer: endpoints get no more requests than the limit that they name

Change: what is sent to an endpoint passes a gate. Nodes divide a limit by their names, so that the shares and the bursts of all stay within it, and tell each other of limits and their ends. Endpoints that have spent a share are left out of the choice, engines without a limit are preferred, and a free prefill engine decodes where all decode engines are limited.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -63,6 +63,7 @@
 	ConnectionLost      Code = 506
 	EndpointReplaced    Code = 507
 	AnswerLate          Code = 508
+	EndpointLimited     Code = 509
 
 	PlatformUnavailable Code = 601
 	PlatformConflict    Code = 602
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -100,6 +100,10 @@
 	// no requests until RefusedUntil.
 	Refusals     int
 	RefusedUntil time.Time
+	// Limited means that the endpoint has named a limit of requests, PausedUntil is when
+	// it gets a request of this node again.
+	Limited     bool
+	PausedUntil time.Time
 	// Failures counts consecutive failures.
 	Failures int
 	// EjectedUntil is when an ejected endpoint may get a trial request; the zero
@@ -201,6 +205,19 @@
 	return e
 }
 
+// WithLimit returns a copy that has named a limit of requests or not, and gets none until
+// a time.
+func (e Endpoint) WithLimit(limited bool, pausedUntil time.Time) Endpoint {
+	e.Limited, e.PausedUntil = limited, pausedUntil
+	return e
+}
+
+// Pause returns how long the endpoint gets no requests, after a refusal or because its
+// limit of requests is spent.
+func (e Endpoint) Pause(now time.Time) time.Duration {
+	return max(e.RefusedUntil.Sub(now), e.PausedUntil.Sub(now), 0)
+}
+
 // WithChanging returns a copy for which an order of a new role is in progress, or
 // not.
 func (e Endpoint) WithChanging(changing bool) Endpoint {
--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -70,6 +70,7 @@
 	ReasonMemory      Reason = "memory"
 	ReasonLoaded      Reason = "loaded"
 	ReasonRefused     Reason = "refused"
+	ReasonLimited     Reason = "limited"
 )
 
 // Basis is the state of the engine on which a choice is based.
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -159,6 +159,9 @@
 	if req.Now.Before(e.RefusedUntil) {
 		return ReasonRefused
 	}
+	if req.Now.Before(e.PausedUntil) {
+		return ReasonLimited
+	}
 	if req.Blocks > 0 && !e.Report.At.IsZero() && e.Report.FreeBlocks < req.Blocks {
 		return ReasonMemory
 	}
--- a/internal/decision/placer/estimate.go
+++ b/internal/decision/placer/estimate.go
@@ -21,8 +21,8 @@
 type estimate struct {
 	status picker.Reason
 	role   picker.Role
-	// excluded is set if the engine is in the backoff after a refusal, or the
-	// request has failed there.
+	// excluded is set if the engine is in the backoff after a refusal, has spent its
+	// limit of requests, or the request has failed there.
 	excluded bool
 	// cached is the number of tokens of the prompt prefix in its cache.
 	cached int
@@ -47,7 +47,7 @@
 		c.estimates[i] = estimate{
 			status:       picker.UnavailableReason(*e),
 			role:         e.Report.Role,
-			excluded:     d.Requirements.Now.Before(e.RefusedUntil) || slices.Contains(d.Requirements.Tried, e.ID),
+			excluded:     e.Pause(d.Requirements.Now) > 0 || slices.Contains(d.Requirements.Tried, e.ID),
 			cached:       d.CachedTokens[e.ID],
 			queued:       c.queuedTokens(e),
 			decodeCost:   c.decodeCost(e),
@@ -120,6 +120,9 @@
 	if n := c.copyableTokens(i, holder); n > 0 {
 		p += c.copyCost(n, e.DataCentre != c.Engines[holder].DataCentre)
 	}
+	if e.Limited && e.Report.Role == picker.Prefill {
+		p += limitedWeight
+	}
 	if c.prefillTokens(i, holder) > minSpreadTokens {
 		p += maxSpread * hashScore(c.Requirements.PrefixKey, e.ID)
 	}
@@ -164,6 +167,9 @@
 	if c.Requirements.Isolate {
 		p = n * isolatedRequestWeight
 	}
+	if e.Limited {
+		p += limitedWeight
+	}
 	slots := e.Slots
 	if slots == 0 {
 		slots = c.Slots
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -77,6 +77,9 @@
 	requestWeight = 0.8
 	// isolatedRequestWeight is the cost of an in-flight request that may be lost.
 	isolatedRequestWeight = 100.0
+	// limitedWeight is the cost of a request at an engine that has named a limit of
+	// requests: a short prompt takes as much of that as a long one.
+	limitedWeight = 30.0
 	// queueWeight is the cost of a request that is queued for a slot.
 	queueWeight = 40.0
 	// maxSpread bounds a cost that differs between otherwise equal engines, so that
@@ -123,16 +126,17 @@
 	c := newComparison(&d)
 	p := c.planNow()
 	if !p.Run.OK {
-		p.RetryIn = c.refusalDelay()
+		p.RetryIn = c.shortestPause()
 	}
 	return p
 }
 
-// refusalDelay returns the time until an engine that has refused work may take more.
-func (c *comparison) refusalDelay() (least time.Duration) {
+// shortestPause returns the time until an engine that has refused work, or has spent its
+// limit of requests, may take more.
+func (c *comparison) shortestPause() (least time.Duration) {
 	for i := range c.Engines {
 		e := &c.estimates[i]
-		w := c.Engines[i].RefusedUntil.Sub(c.Requirements.Now)
+		w := c.Engines[i].Pause(c.Requirements.Now)
 		if e.status == "" && e.role.Serves(picker.Decode) && w > 0 && (least == 0 || w < least) {
 			least = w
 		}
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -97,6 +97,10 @@
 			c.RemoteLoad.Requests = number(t, value)
 		case "refused-ms":
 			c.RefusedUntil = w.now.Add(time.Duration(number(t, value)) * time.Millisecond)
+		case "limited":
+			c.Limited = true
+		case "paused-ms":
+			c.PausedUntil = w.now.Add(time.Duration(number(t, value)) * time.Millisecond)
 		case "leaving":
 			c.Leaving = true
 		case "changing":
--- a/internal/fleet/director/director_test.go
+++ b/internal/fleet/director/director_test.go
@@ -174,6 +174,8 @@
 				t.Fatal(err)
 			}
 			e.RemoteLoad.Requests = n
+		case "limited":
+			e.Limited = true
 		case "leaving":
 			e.Leaving = true
 		default:
--- a/internal/fleet/director/policy.go
+++ b/internal/fleet/director/policy.go
@@ -132,6 +132,31 @@
 	return minimum, max(minimum, min(int(math.Floor(n))+1, engines-1))
 }
 
+// decodeLimited reports whether there are decode engines and all of them have named limits
+// of requests, while a prefill engine has none.
+//
+// Each response takes a request at a decode engine and little of its time, so a limit
+// there binds first; one engine without a limit takes the place of several.
+func decodeLimited(engines []picker.Endpoint) bool {
+	has := func(role picker.Role, limited bool) bool {
+		return slices.ContainsFunc(engines, func(e picker.Endpoint) bool { return e.Report.Role == role && e.Limited == limited })
+	}
+	return has(picker.Decode, true) && !has(picker.Decode, false) && has(picker.Prefill, false)
+}
+
+// compareForRole orders engines that may change to a role: for decoding those without a
+// limit of requests first, for prefill those with one, and then those with the fewest
+// requests.
+func compareForRole(a, b picker.Endpoint, role picker.Role) int {
+	if a.Limited != b.Limited {
+		if a.Limited == (role == picker.Prefill) {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Sent+a.RemoteLoad.Requests, b.Sent+b.RemoteLoad.Requests), cmp.Compare(a.ID, b.ID))
+}
+
 // Roles returns the role changes that bring the share of prefill engines in each
 // data centre to its target.
 func (p SpotFirst) Roles(s State) []RoleTarget {
@@ -154,10 +179,10 @@
 			}
 		}
 		from, to, n := p.roleShift(s, dc, len(engines), prefilling)
-		// Engines with the fewest requests change first.
-		slices.SortFunc(engines, func(a, b picker.Endpoint) int {
-			return cmp.Or(cmp.Compare(a.Sent+a.RemoteLoad.Requests, b.Sent+b.RemoteLoad.Requests), cmp.Compare(a.ID, b.ID))
-		})
+		if n == 0 && decodeLimited(engines) {
+			from, to, n = picker.Prefill, picker.Decode, 1
+		}
+		slices.SortFunc(engines, func(a, b picker.Endpoint) int { return compareForRole(a, b, to) })
 		for _, e := range engines {
 			if n > 0 && e.Report.Role == from {
 				roles = append(roles, RoleTarget{Engine: e, Role: to})
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -248,6 +248,12 @@
 	return ok
 }
 
+// SetLimit records whether an endpoint has named a limit of requests, and until when it
+// gets none from this node.
+func (o *Observer) SetLimit(id string, limited bool, pausedUntil time.Time) {
+	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) { return e.WithLimit(limited, pausedUntil), ok })
+}
+
 // IDAt returns the identifier of the endpoint with an address.
 func (o *Observer) IDAt(address string) (id string, ok bool) {
 	o.Table.Each(func(_ string, e picker.Endpoint) bool {
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -112,11 +112,22 @@
 }
 
 func encodeEngine(e EngineWork) *EngineMessage {
-	return &EngineMessage{Engine: uint32(e.Engine), Reading: toUint32(e.PrefillTokens), Requests: toUint32(e.Requests), Changing: e.RoleChanging}
+	m := &EngineMessage{Engine: uint32(e.Engine), Reading: toUint32(e.PrefillTokens), Requests: toUint32(e.Requests), Changing: e.RoleChanging}
+	if e.Limit.Told {
+		age := milliseconds(e.Limit.Age)
+		m.LimitAgeMs = &age
+	}
+	if e.Limit.Limited {
+		m.PerSecond = &e.Limit.PerSecond
+	}
+	return m
 }
 
 func decodeEngine(m *EngineMessage) EngineWork {
-	return EngineWork{Engine: EngineHash(m.GetEngine()), PrefillTokens: int(m.GetReading()), Requests: int(m.GetRequests()), RoleChanging: m.GetChanging()}
+	return EngineWork{
+		Engine: EngineHash(m.GetEngine()), PrefillTokens: int(m.GetReading()), Requests: int(m.GetRequests()), RoleChanging: m.GetChanging(),
+		Limit: LimitReport{Told: m.LimitAgeMs != nil, Limited: m.PerSecond != nil, PerSecond: m.GetPerSecond(), Age: duration(m.GetLimitAgeMs())},
+	}
 }
 
 func encodePrefixReport(b PrefixReport) *BeginningMessage {
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -42,6 +42,27 @@
 	Requests      int
 	// RoleChanging means that an order for a role change is in progress.
 	RoleChanging bool
+	Limit        LimitReport
+}
+
+// LimitReport is what an engine has told a node of the requests that it takes. Its zero
+// value says nothing.
+type LimitReport struct {
+	Told bool
+	// Limited means that the engine takes PerSecond requests a second from all nodes
+	// together, else it has told that it takes all again.
+	Limited   bool
+	PerSecond float64
+	// Age is the time since.
+	Age time.Duration
+}
+
+// newer returns the newer one of two reports.
+func (l LimitReport) newer(o LimitReport) LimitReport {
+	if o.Told && (!l.Told || o.Age < l.Age) {
+		return o
+	}
+	return l
 }
 
 // PrefixReport reports that an engine has worked on prompt prefixes.
@@ -145,6 +166,7 @@
 		for _, e := range part.Engines {
 			s := engines.entry(e.Engine)
 			s.Engine, s.PrefillTokens, s.Requests, s.RoleChanging = e.Engine, s.PrefillTokens+e.PrefillTokens, s.Requests+e.Requests, s.RoleChanging || e.RoleChanging
+			s.Limit = s.Limit.newer(e.Limit)
 		}
 		for _, a := range part.Accounts {
 			s := accounts.entry(a.Account)
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -265,13 +265,25 @@
 // buildPacer builds what keeps requests to endpoints within the limits that these name.
 func (n *Node) buildPacer() {
 	n.pacer = &pacer.Pacer{
-		Clock: n.clock, Log: n.log, Decode: n.ports.DecodeRateLimit, EndpointAt: n.observer.IDAt,
+		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
+		EndpointAt: n.observer.IDAt, OnLimit: n.observer.SetLimit,
 	}
 	if n.ports.DecodeRateLimit != nil {
 		n.ports.EndpointTransport.Gate = n.pacer
 	}
 }
 
+// nodeNames returns the names of all nodes that may send requests: those with rows, and
+// this one.
+func (n *Node) nodeNames() []string {
+	names := []string{n.settings.ID}
+	for _, node := range n.members.registrar.Nodes() {
+		names = append(names, node.ID)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // buildQuarantine builds what keeps prompts that crash endpoints away from them.
 func (n *Node) buildQuarantine() {
 	q := quarantiner.New()
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -15,6 +15,7 @@
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
+	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/inner/dialer"
 	"foxtailflow.example/foxtailflow/internal/member/collector"
@@ -79,6 +80,7 @@
 	m.work = workTracker{
 		observer:        n.observer,
 		index:           n.index,
+		pacer:           n.pacer,
 		changingEngines: n.changingEngines,
 		engineIDs:       &keeper.Cell[map[courier.EngineHash]string]{},
 		localState:      n.localState,
@@ -140,6 +142,7 @@
 type workTracker struct {
 	observer *observer.Observer
 	index    *indexer.Index
+	pacer    *pacer.Pacer
 	// changingEngines returns the engines whose role this node is changing.
 	changingEngines func() map[string]bool
 	// engineIDs maps the hashes of the endpoints' identifiers to the identifiers, as
@@ -174,9 +177,11 @@
 	var out []courier.EngineWork
 	changing := w.changingEngines()
 	for _, e := range w.observer.All() {
-		if e.Sent > 0 || e.SentPrefillTokens > 0 || changing[e.ID] {
+		limit := w.limit(e.Address)
+		if e.Sent > 0 || e.SentPrefillTokens > 0 || changing[e.ID] || limit.Told {
 			out = append(out, courier.EngineWork{
 				Engine: courier.HashEngine(e.ID), PrefillTokens: e.SentPrefillTokens, Requests: e.Sent, RoleChanging: changing[e.ID],
+				Limit: limit,
 			})
 		}
 	}
@@ -184,6 +189,15 @@
 	return out
 }
 
+// limit returns what the endpoint with an address has told this node of its limit.
+func (w workTracker) limit(address string) courier.LimitReport {
+	s, age, ok := w.pacer.Told(address)
+	return courier.LimitReport{Told: ok, Limited: s.Limited, PerSecond: s.PerSecond, Age: age.Round(limitAgeStep)}
+}
+
+// limitAgeStep is the precision of the ages of limits that nodes tell each other.
+const limitAgeStep = 100 * time.Millisecond
+
 // SetRemoteWork records the work of all other nodes.
 func (w workTracker) SetRemoteWork(others courier.Work, at time.Time) {
 	byEngine := make(map[courier.EngineHash]courier.EngineWork, len(others.Engines))
@@ -198,6 +212,9 @@
 		other := byEngine[engine]
 		load := picker.RemoteLoad{At: at, PrefillTokens: other.PrefillTokens, Requests: other.Requests}
 		w.observer.SetRemoteLoad(e.ID, load, other.RoleChanging || changing[e.ID])
+		if l := other.Limit; l.Told {
+			w.pacer.RecordHearsay(e.Address, e.ID, pacer.Statement{Limited: l.Limited, PerSecond: l.PerSecond}, l.Age)
+		}
 	}
 	w.engineIDs.Update(func(map[courier.EngineHash]string) (map[courier.EngineHash]string, bool) { return ids, true })
 	w.remote.Update(func(remoteWork) (remoteWork, bool) { return remoteWork{work: others, at: at}, true })
--- a/internal/request/chooser/chooser.go
+++ b/internal/request/chooser/chooser.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -79,7 +80,22 @@
 		c.Index.Store(choice.Endpoint.ID, prefix)
 	}
 	explainer.LogRouting(c.Log, r.ID, r.Account, r.Route.Deployment, choice, c.listState())
-	return picker.Plan{Run: choice}
+	plan := picker.Plan{Run: choice}
+	if !choice.OK {
+		plan.RetryIn = c.shortestPause(r.Route.Deployment, req.Now)
+	}
+	return plan
+}
+
+// shortestPause returns the time until an endpoint takes requests again that has refused
+// one or has spent its limit; 0 means that there is none.
+func (c Chooser) shortestPause(deployment string, now time.Time) (least time.Duration) {
+	for _, e := range c.Observer.InDeployment(deployment) {
+		if wait := e.Pause(now); wait > 0 && picker.UnavailableReason(e) == "" && (least == 0 || wait < least) {
+			least = wait
+		}
+	}
+	return least
 }
 
 // listAges are the ages of the lists of endpoints from which choices are made.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -72,7 +72,7 @@
 				continue
 			}
 			if c.result.Err == nil {
-				c.result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint is available for the request").WithRetryAfter(rule.Backoff)
+				c.result.Err = coder.Refuse(coder.NoEndpoint, "no endpoint is available for the request").WithRetryAfter(max(rule.Backoff, plan.RetryIn))
 			}
 			break
 		}
@@ -233,7 +233,7 @@
 	case err == nil:
 		return picker.ResultResponse
 	// Codes 1xx are the caller's fault: it has disconnected, or its body failed.
-	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull:
+	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull, code == coder.EndpointLimited:
 		return picker.ResultNone
 	case code == coder.EndpointRefused:
 		return picker.ResultRefused
@@ -346,7 +346,11 @@
 // mayHaveArrived reports whether a request that failed may have reached an
 // endpoint.
 func mayHaveArrived(err error) bool {
-	return !coder.Is(err, coder.EndpointUnreachable) && !coder.Is(err, coder.ConnectionsFull)
+	switch coder.FromError(err).Code() {
+	case coder.EndpointUnreachable, coder.ConnectionsFull, coder.EndpointLimited:
+		return false
+	}
+	return true
 }
 
 // connectionSkew is how many times its even share of an endpoint's connections
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -66,7 +66,9 @@
 		return false
 	}
 	c.progress.Tried = append(c.progress.Tried, e.ID)
-	c.failedPrefills++
+	if !coder.Is(err, coder.EndpointLimited) {
+		c.failedPrefills++
+	}
 	c.progress.NoHandover = c.failedPrefills >= maxPrefills
 	if !mayHaveArrived(err) || d.takeRetry(r, c.rule) {
 		return true
