--- a/internal/base/coder/error.go
+++ b/internal/base/coder/error.go
@@ -66,14 +66,35 @@
 	return e
 }
 
-// WithCause returns a copy with the cause and its stack trace.
+// maxCauseText bounds the text of a cause in bytes: an error of malformed input may
+// quote most of it.
+const maxCauseText = 400
+
+// WithCause returns a copy with the cause and its stack trace. The text of a long cause
+// is cut.
 func (e Error) WithCause(cause error) Error {
-	if cause != nil {
-		e.cause = eris.Wrap(cause, e.message)
+	if cause == nil {
+		return e
 	}
+	if text := cause.Error(); len(text) > maxCauseText {
+		cause = longError{cause, text[:maxCauseText] + "..."}
+	}
+	e.cause = eris.Wrap(cause, e.message)
 	return e
 }
 
+// longError is an error whose text was cut.
+type longError struct {
+	error
+	text string
+}
+
+// Error returns the beginning of the text.
+func (e longError) Error() string { return e.text }
+
+// Unwrap returns the error.
+func (e longError) Unwrap() error { return e.error }
+
 // Code returns the result code.
 func (e Error) Code() Code { return e.code }
 
