forwarder, roundtripper: an earlier refusal that comes once more is not taken for the response

Reported by operators of systems like ours: a worker writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that a worker runs (REFUSED), or such a request runs at a second worker (TWICE). Here it could happen in two ways. An error without the identifier of a request passed for the response to any; and a request that was sent again to an endpoint that had refused it, or its prefill, took the copy for its own response if it used the same connection. Orders, reports and releases of prompts on the same connections took any response.

--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -38,6 +38,10 @@
 	// MaxConnections is the maximum number of connections to the address; 0 means no
 	// bound.
 	MaxConnections int
+	// Fresh means that the request is sent on a new connection, for example because it
+	// was sent to the address before: a second response to that may still arrive on the
+	// connection which it used.
+	Fresh bool
 	// NewConnection means that the idle connections to the address are closed and the
 	// request is sent on a new one: what breaks one connection often breaks all.
 	NewConnection bool
@@ -48,8 +52,9 @@
 	OnSend func()
 	// Accept reports whether the head of a response belongs to the request. A
 	// response that does not is read to its end and discarded: a faulty server may
-	// respond to an earlier request twice. Nil accepts all.
-	Accept func(status int, h http.Header) bool
+	// respond to an earlier request twice. first means that nothing was received on the
+	// connection before, so that there is no earlier request. Nil accepts all.
+	Accept func(status int, h http.Header, first bool) bool
 }
 
 // Response is the response to one request. Body must be closed. If the complete body
@@ -84,7 +89,7 @@
 	if o.NewConnection {
 		t.CloseIdle(address)
 	}
-	c, err := t.connect(ctx, address, o.MaxConnections)
+	c, err := t.connect(ctx, address, o)
 	if err != nil {
 		return nil, err
 	}
@@ -241,12 +246,12 @@
 	head := x.conn.head
 	head.SetLimit(int64(cmp.Or(x.transport.MaxHeadBytes, limiter.MaxHead)))
 	defer head.Suspend()
-	for range maxMismatched + 1 {
+	for n := range maxMismatched + 1 {
 		resp, err := x.readHead(method) //nolint:bodyclose // The caller closes the body of the response.
 		if err != nil {
 			return nil, err
 		}
-		if o.Accept == nil || o.Accept(resp.StatusCode, resp.Header) {
+		if o.Accept == nil || o.Accept(resp.StatusCode, resp.Header, n == 0 && !x.conn.reused) {
 			return x.newResponse(resp), nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/internal/base/roundtripper/transport.go
+++ b/internal/base/roundtripper/transport.go
@@ -208,12 +208,14 @@
 }
 
 // connect returns an idle connection, or a new one.
-func (t *Transport) connect(ctx context.Context, address string, limit int) (*connection, error) {
-	if c := t.takeIdle(address, t.Clock.Now()); c != nil {
-		return c, nil
+func (t *Transport) connect(ctx context.Context, address string, o Options) (*connection, error) {
+	if !o.Fresh {
+		if c := t.takeIdle(address, t.Clock.Now()); c != nil {
+			return c, nil
+		}
 	}
-	if !t.reserve(address, limit) {
-		return nil, coder.Refuse(coder.ConnectionsFull, "all %d connections to %s are in use", limit, address)
+	if !t.reserve(address, o.MaxConnections) {
+		return nil, coder.Refuse(coder.ConnectionsFull, "all %d connections to %s are in use", o.MaxConnections, address)
 	}
 	conn, err := t.Dial(ctx, address)
 	if err != nil {
--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -125,7 +125,7 @@
 		Method: http.MethodPost, Target: "/x", Body: []byte("body"),
 		Header: http.Header{"Id": {"r1"}, "Step": {strconv.Itoa(f.step)}},
 	}
-	o := roundtripper.Options{Accept: func(_ int, h http.Header) bool { return h.Get("Id") != "other" }}
+	o := roundtripper.Options{Accept: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") != "other" }}
 	address := f.server.address()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	for _, a := range d.CmdArgs {
--- a/internal/engine/translator/translator.go
+++ b/internal/engine/translator/translator.go
@@ -83,7 +83,7 @@
 
 // Matches returns true: these engines send a single response per request, so no
 // other one follows a response that belongs to another request.
-func (Translator) Matches(carrier.Request, carrier.ResponseHead) bool { return true }
+func (Translator) Matches(carrier.Request, carrier.ResponseHead, bool) bool { return true }
 
 // namesOtherRequest reports whether a response has the identifier of another
 // request.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
@@ -27,7 +28,9 @@
 	progress carrier.Progress
 	// prefilled is the prefilled prompt of the request until an attempt has
 	// used it.
-	prefilled   prefilledPrompt
+	prefilled prefilledPrompt
+	// sentTo has the addresses that the request, or its prompt, may have been sent to.
+	sentTo      []string
 	eventsDone  int
 	lastEventID string
 	result      carrier.Result
@@ -168,6 +171,7 @@
 		Address:       e.Address,
 		Connections:   c.maxConnections,
 		NewConnection: c.freshConnection,
+		Resent:        slices.Contains(c.sentTo, e.Address),
 		InitialState:  c.initial,
 		ResponseBegun: c.history.PartlyDelivered(),
 		EventsDone:    c.eventsDone,
@@ -197,6 +201,7 @@
 	}
 	d.Endpoints.RecordSent(e.ID, work)
 	rep := d.Forwarder.Forward(c.job.ctx, a, c.writer)
+	c.recordSent(e, rep)
 	d.recordAttempt(c, e, work, rep, begun)
 	if c.probablyRan(rep) {
 		d.reportBegun(c)
@@ -208,6 +213,13 @@
 	return rep
 }
 
+// recordSent records that the request may have been sent to an endpoint.
+func (c *execution) recordSent(e picker.Endpoint, rep forwarder.Report) {
+	if rep.Attempt.Reached() >= attempter.Sending && !slices.Contains(c.sentTo, e.Address) {
+		c.sentTo = append(c.sentTo, e.Address)
+	}
+}
+
 // recordAttempt records what an attempt implies for its endpoint, which had begun its
 // response or not.
 func (d *Dispatcher) recordAttempt(c *execution, e picker.Endpoint, work int, rep forwarder.Report, begun bool) {
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
@@ -43,8 +44,10 @@
 		Address:       e.Address,
 		Connections:   c.maxConnections,
 		NewConnection: c.freshConnection,
+		Resent:        slices.Contains(c.sentTo, e.Address),
 		FetchFrom:     plan.FetchFrom,
 	})
+	c.recordSent(e, rep)
 	c.attempts++
 	err := rep.Attempt.Err()
 	d.Endpoints.RecordDone(e.ID, work, c.classify(err), c.rule)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -54,8 +54,9 @@
 	// Encode returns the request of an attempt; left is the time until its
 	// deadline.
 	Encode(a Attempt, left time.Duration) (roundtripper.Request, error)
-	// Matches reports whether the head of a response names the request.
-	Matches(r carrier.Request, h carrier.ResponseHead) bool
+	// Matches reports whether the head of a response names the request; first means that
+	// nothing was received on the connection before.
+	Matches(r carrier.Request, h carrier.ResponseHead, first bool) bool
 	// CheckHead returns why the attempt has failed, judging by the head of a
 	// response. The outcome NotRun means that the endpoint itself reports that
 	// it has not begun the request.
@@ -95,6 +96,8 @@
 	Connections int
 	// NewConnection sends the request on a new connection.
 	NewConnection bool
+	// Resent means that the request, or its prompt, was sent to the endpoint before.
+	Resent bool
 	// InitialState is the initial state of the attempt.
 	InitialState attempter.Attempt
 	// ResponseBegun says that the caller already has a part of the response.
@@ -211,12 +214,13 @@
 	response, err := f.Transport.Send(ctx, a.Address, m, roundtripper.Options{
 		MaxConnections: a.Connections,
 		NewConnection:  a.NewConnection,
+		Fresh:          a.Resent,
 		OnSend: func() {
 			x.report.SentAt = f.Clock.Now()
 			x.record(attempter.SendBegan{})
 		},
-		Accept: func(status int, h http.Header) bool {
-			return f.Dialect.Matches(a.Request, carrier.ResponseHead{Status: status, Header: carrier.Header(h)})
+		Accept: func(status int, h http.Header, first bool) bool {
+			return f.Dialect.Matches(a.Request, carrier.ResponseHead{Status: status, Header: carrier.Header(h)}, first)
 		},
 	})
 	if err != nil {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -28,7 +28,7 @@
 func (d dialect) Mode(forwarder.Attempt, carrier.ResponseHead) forwarder.Mode { return d.mode }
 
 // Matches accepts every response.
-func (dialect) Matches(carrier.Request, carrier.ResponseHead) bool { return true }
+func (dialect) Matches(carrier.Request, carrier.ResponseHead, bool) bool { return true }
 
 // CheckHead accepts every response.
 func (dialect) CheckHead(forwarder.Attempt, carrier.ResponseHead) error { return nil }
