usage/reporter: a node that leaves stores its own counts

Cause: when all nodes stop at once, each first deletes its row, so that no hub is left, and the last counts of a node that does not hold the usage duty reach nobody. Change: such a node writes its own counts in rows usage-left/NODE/N. A holder merges them when it takes the duty over and before it closes a window, and deletes them once their windows are closed.

--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -5,7 +5,8 @@
 // taken over the duty or has stored figures for the window. Every report of a
 // window, by this node or a later holder, therefore has the same figures. The
 // counts of windows that are not closed yet are stored as well, once a second, so
-// that they survive the loss of all nodes.
+// that they survive the loss of all nodes. A node that leaves stores its own counts,
+// as the holder may have left before they arrive there.
 package reporter
 
 import (
@@ -37,6 +38,9 @@
 // Ledger has the counts of all nodes.
 type Ledger interface {
 	Merge(counts []courier.NodeUsage, local bool)
+	// ChangedSince returns the counts that have changed after a revision, with own
+	// set only those of this node.
+	ChangedSince(revision uint64, own bool) ([]courier.NodeUsage, uint64)
 	Window(window int64) []courier.NodeUsage
 	Total(window int64) map[courier.Meter]int
 	Windows() []int64
@@ -86,6 +90,9 @@
 	savedAt  time.Time
 	// openRows is the number of rows with the counts of open windows.
 	openRows int
+	// left has the keys of the rows of nodes that have left, with the newest window
+	// in each.
+	left map[string]int64
 	// newestClosed is the newest closed window; older windows are no longer closed.
 	newestClosed int64
 }
@@ -181,6 +188,9 @@
 		}
 	}
 	state.openRows = len(rows)
+	if state.left, err = c.mergeLeft(ctx); err != nil {
+		return err
+	}
 	c.state = state
 	c.Log.Info().Uint64("fencing-token", g.Token).Int("closed", len(state.closed)).Msg("this node now reports usage")
 	return nil
@@ -199,13 +209,13 @@
 }
 
 // Save saves the counts of the windows that are not closed yet for the next
-// holder, if this node holds the duty.
+// holder: those of all nodes if this node holds the duty, and else its own.
 func (c *Reporter) Save(ctx context.Context) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g, ok := c.Leases.Grant(Duty)
 	if !ok || c.state.epoch != g.Epoch {
-		return nil
+		return c.saveOwn(ctx)
 	}
 	return c.saveOpen(ctx, g)
 }
@@ -251,9 +261,13 @@
 func (c *Reporter) closeAndReport(ctx context.Context, g leaser.Grant, window int64) error {
 	counts, ok := c.state.closed[window]
 	if !ok {
+		var err error
+		if c.state.left, err = c.mergeLeft(ctx); err != nil {
+			return err
+		}
 		counts = c.Ledger.Total(window)
 		key := windowKey(window)
-		_, err := c.Table.Commit(ctx, g.Guard(transactor.Tx{}.WithAbsent(key).WithPut(key, encodeWindow(counts)).WithPut(newestClosedKey, encodeNewestClosed(window))))
+		_, err = c.Table.Commit(ctx, g.Guard(transactor.Tx{}.WithAbsent(key).WithPut(key, encodeWindow(counts)).WithPut(newestClosedKey, encodeNewestClosed(window))))
 		if err != nil {
 			// The commit may have taken effect: the rows are read again before the
 			// next attempt.
@@ -275,6 +289,9 @@
 	}
 	c.Log.Info().Int64("window", window).Int("requests", requests).Int("client-accounts", len(accounts)).
 		Dur("after-ms", c.Now().Sub(c.Settings.end(window))).Msg("window reported")
+	if err := c.deleteLeft(ctx, g); err != nil {
+		return err
+	}
 	return c.deleteOld(ctx, g, window)
 }
 
--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -155,6 +155,13 @@
 		c.take(t, d.CmdArgs[0].Key)
 	case "crash":
 		delete(c.nodes, d.CmdArgs[0].Key)
+	case "leave":
+		if err := c.node(d.CmdArgs[0].Key).reporter.Save(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		delete(c.nodes, d.CmdArgs[0].Key)
+	case "keys":
+		return c.keys(t, d.CmdArgs[0].Key)
 	case "store":
 		c.memory.SetFaults(provider.Faults{TableDown: d.HasArg("down")})
 		return ""
@@ -174,6 +181,19 @@
 	return strings.Join(append(reports, ""), "\n")
 }
 
+// keys lists the keys of the rows with a prefix.
+func (c *cluster) keys(t *testing.T, prefix string) string {
+	rows, err := transactor.ScanAll(t.Context(), c.memory, prefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		b.WriteString(row.Key + "\n")
+	}
+	return b.String()
+}
+
 // crowd counts requests of many client accounts on many nodes in the current
 // window.
 func (c *cluster) crowd(t *testing.T, d *datadriven.TestData) {
--- a/internal/usage/reporter/rows.go
+++ b/internal/usage/reporter/rows.go
@@ -12,10 +12,12 @@
 )
 
 // windowPrefix is the key prefix of the rows of closed windows, openPrefix that of
-// the rows with the counts of open windows.
+// the rows with the counts of open windows, and leftPrefix that of the rows with the
+// counts of nodes that have left.
 const (
 	windowPrefix = "usage-window/"
 	openPrefix   = "usage-open/"
+	leftPrefix   = "usage-left/"
 	// newestClosedKey is the key of the row with the newest closed window.
 	newestClosedKey = "usage-head/newest"
 )
@@ -29,6 +31,9 @@
 
 func openKey(chunk int) string { return openPrefix + strconv.Itoa(chunk) }
 
+// leftKey returns the key of a row with the counts of a start of a node.
+func leftKey(node string, chunk int) string { return leftPrefix + node + "/" + strconv.Itoa(chunk) }
+
 func windowKey(window int64) string { return windowPrefix + strconv.FormatInt(window, 10) }
 
 func encodeWindow(counts map[courier.Meter]int) []byte {
