store/follower: an empty table is taken from another node

Cause: a node that starts while the store is down follows the tables of another node. It says that it has seen version 0, an empty table is at version 0, too, and so it is sent "no change" and never counts as loaded. The table of the quarantine is usually empty, and since a node is ready only with it: such a node did not become ready until the store was back. Change: the whole content is sent to a node that has none.

--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -156,6 +156,9 @@
 			keys = append(keys, strings.TrimPrefix(r.Key, "t/")+"@"+strconv.FormatUint(r.Version, 10))
 		}
 		_, _ = fmt.Fprintf(&out, "%s: [%s]", name, strings.Join(keys, " "))
+		if !s.Loaded() {
+			out.WriteString(" not loaded")
+		}
 		if s.Unavailable() {
 			out.WriteString(" away")
 		}
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -157,7 +157,8 @@
 			if !s.OutageEndedAt.IsZero() {
 				c.SinceOutage = max(now.Sub(s.OutageEndedAt), time.Millisecond)
 			}
-			if !sent.Loaded() && s.ChangedVersion == changed {
+			// A node without content says 0, and an empty table may be at 0, too.
+			if !sent.Loaded() && changed > 0 && s.ChangedVersion == changed {
 				c.Complete, c.Rows = false, nil
 			}
 			if err := send(c); err != nil {
