node/composer: a change waits for a change of the hub

The others report their versions through it; giving it up, joining the next hub and reporting there takes about 2.1 s, and the change waited 2 s for a majority before it said that it is not known to be in force. Change: it waits 4 s, in total 8.5 s of the 9 s in which a change is in force.

--- a/internal/node/composer/freshness.go
+++ b/internal/node/composer/freshness.go
@@ -135,9 +135,10 @@
 	inForcePollInterval = 50 * time.Millisecond
 	// inForceMargin is added to the time after which an unreached node serves no
 	// requests with API keys, since the rates of clocks differ; majorityTimeout is
-	// the further time for most nodes to get the version.
+	// the further time for most nodes to report the version, which they do through
+	// their hub: it is longer than a change of the hub takes.
 	inForceMargin   = 500 * time.Millisecond
-	majorityTimeout = 2 * time.Second
+	majorityTimeout = 4 * time.Second
 )
 
 // AwaitInForce waits until no node serves requests with API keys under an older
