member, node/composer: a node without a row does not count as having a change

Beside that, a node that had not yet read the rows of the others took itself for all nodes and went on serving without the store. Change: a node states its version once it has read its own row and until it leaves; a node that is without the store counts the nodes that have joined it and whose rows it has not read. Ruled out: a late report of the cut-off node; its version is the old one.

--- a/internal/member/collector/collector.go
+++ b/internal/member/collector/collector.go
@@ -41,6 +41,8 @@
 	Nodes() []registrar.Node
 	InDataCentre(dataCentre string) []registrar.Node
 	DataCentres() []string
+	// WasListed reports whether the row of a start of a node was ever read.
+	WasListed(id string, incarnation uint64) bool
 }
 
 // WorkTracker provides the state of this node and takes that of the others.
@@ -113,6 +115,7 @@
 
 	mu         sync.Mutex
 	members    map[string]*member
+	unlisted   unlistedNodes
 	hubs       map[string]receivedUpdate
 	prefixes   prefixLog
 	avoidUntil map[string]time.Time
--- a/internal/member/collector/collector_test.go
+++ b/internal/member/collector/collector_test.go
@@ -36,7 +36,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
-			c := &cluster{ctx: ctx, nodes: make(map[string]*node), partitioned: make(map[string]bool)}
+			c := &cluster{ctx: ctx, nodes: make(map[string]*node), partitioned: make(map[string]bool), listed: make(map[string]uint64)}
 			datadriven.RunTest(t, path, c.run)
 		})
 	})
@@ -46,8 +46,10 @@
 type cluster struct {
 	ctx context.Context
 
-	mu          sync.Mutex
-	rows        []registrar.Node
+	mu   sync.Mutex
+	rows []registrar.Node
+	// listed has the starts of the nodes that have had rows.
+	listed      map[string]uint64
 	nodes       map[string]*node
 	partitioned map[string]bool
 }
@@ -78,6 +80,21 @@
 	return slices.Compact(names)
 }
 
+// WasListed reports whether a start of a node has had a row.
+func (c *cluster) WasListed(id string, incarnation uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed[id] >= incarnation
+}
+
+// register writes the row of a node.
+func (c *cluster) register(self registrar.Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = append(slices.DeleteFunc(c.rows, func(r registrar.Node) bool { return r.ID == self.ID }), self)
+	c.listed[self.ID] = self.Incarnation
+}
+
 func (c *cluster) isPartitioned(names ...string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -242,15 +259,18 @@
 	}
 }
 
-func (c *cluster) start(name string) {
+// start starts a node, which writes its row at once or later.
+func (c *cluster) start(name string, registers bool) {
 	ctx, stop := context.WithCancel(c.ctx)
 	self := registrar.Node{ID: name, Address: name, DataCentre: name[:1], Incarnation: uint64(time.Now().UnixNano())}
 	n := &node{cluster: c, stop: stop, ledger: &ledger.Ledger{Self: name}}
 	n.collector = &collector.Collector{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Self: self, Nodes: c, Dialer: n, Work: n, Usage: n.ledger, Crashes: &n.crashes,
 	}
+	if registers {
+		c.register(self)
+	}
 	c.mu.Lock()
-	c.rows = append(slices.DeleteFunc(c.rows, func(r registrar.Node) bool { return r.ID == name }), self)
 	c.nodes[name] = n
 	c.mu.Unlock()
 	go n.collector.Run(ctx)
@@ -261,9 +281,11 @@
 	switch d.Cmd {
 	case "start":
 		for i := range d.CmdArgs {
-			c.start(arg(i))
+			c.start(arg(i), true)
 		}
 		return ""
+	case "join", "register", "unlisted":
+		return c.rowCommand(t, d)
 	case "work":
 		n := c.node(arg(0))
 		n.mu.Lock()
@@ -291,16 +313,8 @@
 		return ""
 	case "crash", "crashes":
 		return c.crashCommand(d)
-	case "resign":
-		c.resign(arg(0))
-		return ""
-	case "kill":
-		c.kill(arg(0))
-		return ""
-	case "silence", "heal":
-		c.mu.Lock()
-		c.partitioned[arg(0)] = d.Cmd == "silence"
-		c.mu.Unlock()
+	case "resign", "kill", "silence", "heal":
+		c.disturb(d.Cmd, arg(0))
 		return ""
 	case "wait":
 		span, err := time.ParseDuration(arg(0))
@@ -319,6 +333,39 @@
 	return ""
 }
 
+// disturb has a node leave, kills it, or ends or restores its connections.
+func (c *cluster) disturb(command, name string) {
+	switch command {
+	case "resign":
+		c.resign(name)
+	case "kill":
+		c.kill(name)
+	default:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.partitioned[name] = command == "silence"
+	}
+}
+
+// rowCommand starts a node that has no row yet, writes its row, or returns how many
+// nodes without rows a node knows, whose copy of the rows is of some time ago.
+func (c *cluster) rowCommand(t *testing.T, d *datadriven.TestData) string {
+	name := d.CmdArgs[0].Key
+	switch d.Cmd {
+	case "join":
+		c.start(name, false)
+	case "register":
+		c.register(c.node(name).collector.Self)
+	case "unlisted":
+		age, err := time.ParseDuration(d.CmdArgs[1].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprintf("%d\n", c.node(name).collector.Unlisted(time.Now().Add(-age)))
+	}
+	return ""
+}
+
 // crashCommand records a crash on a node, or returns the crashes that each node knows,
 // with their suspects.
 func (c *cluster) crashCommand(d *datadriven.TestData) string {
--- a/internal/member/collector/hub.go
+++ b/internal/member/collector/hub.go
@@ -26,6 +26,9 @@
 		return courier.Summary{Number: u.Number, ConfigFreshness: c.Work.ConfigFreshness()}
 	}
 	m := c.recordMember(u, now)
+	if !c.Nodes.WasListed(u.Node, u.Incarnation) {
+		c.unlisted.record(u, now)
+	}
 	c.expire(now)
 	others, nodes := c.sum(u.Node)
 	crashes, crashRevision := c.Crashes.ChangedSince(m.sent.crashes)
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -53,6 +53,8 @@
 
 	nodes      keeper.Cell[[]Node]
 	registered keeper.Cell[bool]
+	// listed has the newest start of each node whose row was ever read.
+	listed keeper.Table[string, uint64]
 }
 
 // Register writes this node's row unless it is already there, or the clock offset
@@ -89,6 +91,7 @@
 		}
 		own = own || n.ID == r.Self.ID && n.Incarnation == r.Self.Incarnation
 		nodes = append(nodes, n)
+		r.listed.Update(n.ID, func(start uint64, _ bool) (uint64, bool) { return max(start, n.Incarnation), true })
 	}
 	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.RowVersion, b.RowVersion) })
 	r.nodes.Update(func([]Node) ([]Node, bool) { return nodes, true })
@@ -100,6 +103,13 @@
 // Nodes returns the nodes in the order of their rows' versions.
 func (r *Registrar) Nodes() []Node { return r.nodes.Get() }
 
+// WasListed reports whether a row of this start of a node, or of a later one, was
+// ever read.
+func (r *Registrar) WasListed(id string, incarnation uint64) bool {
+	start, ok := r.listed.Get(id)
+	return ok && start >= incarnation
+}
+
 // ClockOffsets returns the clock offsets of all nodes.
 func (r *Registrar) ClockOffsets() []time.Duration {
 	nodes := r.nodes.Get()
--- a/internal/node/composer/freshness.go
+++ b/internal/node/composer/freshness.go
@@ -20,7 +20,11 @@
 		w.Accounts = n.components.AccountWork()
 	}
 	if n.settings.StaleAfter > 0 {
-		w.Configs = []courier.ConfigNodes{{Version: n.config.Get().config.Version(), Nodes: 1}}
+		// A change waits for the nodes that have rows, so only these may count as having
+		// it.
+		if n.isListed() && !n.duties.leaving.Load() {
+			w.Configs = []courier.ConfigNodes{{Version: n.config.Get().config.Version(), Nodes: 1}}
+		}
 		if n.configs.Snapshot().Unavailable() {
 			w.StoreUnavailable = 1
 		}
@@ -28,6 +32,9 @@
 	return w
 }
 
+// isListed reports whether this node has read its own row.
+func (n *Node) isListed() bool { return !n.members.listedAt.Get().IsZero() }
+
 // RemoteWork returns the work and state that the other nodes have reported
 // recently.
 func (n *Node) RemoteWork() courier.Work {
@@ -109,7 +116,9 @@
 			return false
 		}
 	}
-	return 2*(others.StoreUnavailable+1) > len(n.Nodes())
+	c := n.members.collector
+	nodes := max(c.NodeCount(), len(n.Nodes())+c.Unlisted(n.members.nodes.Snapshot().ConfirmedAt))
+	return 2*(others.StoreUnavailable+1) > nodes
 }
 
 // ConfigVersions returns the configuration versions in force on this node and
