leaser: a failed read does not start the time of a takeover again

Callers saw nothing; a duty stayed without a holder while the store failed a read more often than every 7 s, 3.5 s on the users' platform. Cause: after each failed read a node counted the time for which the row of a lease had been unchanged from zero. Measured: testdata/interrupted-reads fails without the change ("no holder" 12.5 s after the holder was paused) and passes; the scripts restart, outage and takeover pass unchanged.

--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -66,12 +66,15 @@
 	// dueAt is when the next step is due.
 	dueAt time.Time
 	// row and version are the lease row as last seen, rowSince the time at which
-	// it was first seen at this version. rowKnown is false before the first read
-	// and after a failed one.
+	// it was first seen at this version. rowKnown is false before the first read.
 	row      lease
 	version  uint64
 	rowSince time.Time
 	rowKnown bool
+	// interrupted says that the last call failed; resumedAt is the first read after
+	// one that did.
+	interrupted bool
+	resumedAt   time.Time
 	// held says that the row is this node's lease; epoch, takenAt and expiresAt
 	// belong to it.
 	held      bool
@@ -115,14 +118,16 @@
 	if !d.rowKnown || d.version != version {
 		d.rowSince = at
 	}
+	if d.interrupted {
+		d.interrupted, d.resumedAt = false, at
+	}
 	d.row, d.version, d.rowKnown = l, version, true
 	return d
 }
 
-// withRowUnknown returns a copy for which the time of an unchanged row starts
-// again at the next read.
-func (d duty) withRowUnknown() duty {
-	d.rowKnown = false
+// withInterruption returns a copy for which a call to the store failed without effect.
+func (d duty) withInterruption() duty {
+	d.interrupted = true
 	return d
 }
 
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -47,6 +47,9 @@
 	// callTimeout bounds one call, so that a slow call does not delay the renewal
 	// of other leases beyond their end.
 	callTimeout = time.Second
+	// renewGrace is the time that a holder gets to renew after the store has failed: a
+	// call in progress and the delay before the next one.
+	renewGrace = callTimeout + 3*retryDelay/2
 	// maxConcurrentCalls bounds the concurrent calls for different duties.
 	maxConcurrentCalls = 16
 )
@@ -266,7 +269,7 @@
 		// An earlier commit of this node may have taken effect late.
 		return d.withPending(pc).withDueAt(now)
 	case noEffect(err):
-		return d.withRowUnknown().withDueAt(now.Add(l.jitter(retryDelay)))
+		return d.withInterruption().withDueAt(now.Add(l.jitter(retryDelay)))
 	}
 	return d.withPending(pc).withDueAt(now.Add(l.jitter(retryDelay) / 2))
 }
@@ -327,21 +330,10 @@
 	// the read.
 	now := l.Clock.Now()
 	if err != nil {
-		// After an outage the holder gets the full time to renew.
-		return d.withRowUnknown().withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
+		return d.withInterruption().withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
 	}
 	d = d.withRow(row, version, now)
-	delay := time.Duration(rank) * rankDelay
-	switch {
-	case row.holder == "":
-	case l.IsEarlierStart != nil && l.IsEarlierStart(row.holder):
-		// An earlier start no longer renews its lease, so there is no need to wait
-		// until it ends.
-		delay = 0
-	default:
-		delay += l.times().Duration + l.times().Margin
-	}
-	due := d.rowSince.Add(delay)
+	due := l.takeoverDue(rank, d)
 	if now.Before(due) {
 		next := now.Add(l.times().PollInterval)
 		if due.Before(next) {
@@ -352,6 +344,26 @@
 	return l.takeOver(ctx, name, d)
 }
 
+// takeoverDue returns when this node may take a duty over whose row stays as it is.
+func (l *Leaser) takeoverDue(rank int, d duty) time.Time {
+	delay, times := time.Duration(rank)*rankDelay, l.times()
+	switch {
+	case d.row.holder == "":
+		return d.rowSince.Add(delay)
+	case l.IsEarlierStart != nil && l.IsEarlierStart(d.row.holder):
+		// An earlier start no longer renews its lease, so there is no need to wait
+		// until it ends.
+		return d.rowSince
+	}
+	due := d.rowSince.Add(times.Duration + times.Margin)
+	// The store may have failed the holder as well. Its lease has ended all the same if
+	// the row has not changed.
+	if resumed := d.resumedAt.Add(renewGrace); due.Before(resumed) {
+		due = resumed
+	}
+	return due.Add(delay)
+}
+
 func (l *Leaser) takeOver(ctx context.Context, name string, d duty) duty {
 	pc := l.newCommit(lease{holder: l.Name, token: d.row.token + 1, heartbeat: d.nextHeartbeat()})
 	d = d.withSent(pc)
