translator, roundtripper: a late copy of a response is not taken for the next one

Reported by operators of systems like ours: a server sends a second copy of an answer, late, on a connection that is in use again, and the next caller gets it. Here it could happen with plain services that do not repeat the identifier of a request: bytes that came before the next request closed the connection, but a copy after it was passed on to the next caller, and a copy of a refusal told it "not run". On the users' platform every response names its request. Change: only the first response on a connection may leave out the identifier, and a connection is kept only after a response that has it. Cost: a new connection for each request to a service that does not repeat it.

--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -55,6 +55,9 @@
 	// respond to an earlier request twice. first means that nothing was received on the
 	// connection before, so that there is no earlier request. Nil accepts all.
 	Accept func(status int, h http.Header, first bool) bool
+	// Keep reports whether the connection may be used again after a response with this
+	// head. Nil keeps all that the protocol allows.
+	Keep func(status int, h http.Header) bool
 }
 
 // Response is the response to one request. Body must be closed. If the complete body
@@ -252,7 +255,9 @@
 			return nil, err
 		}
 		if o.Accept == nil || o.Accept(resp.StatusCode, resp.Header, n == 0 && !x.conn.reused) {
-			return x.newResponse(resp), nil
+			response := x.newResponse(resp)
+			x.reusable = x.reusable && (o.Keep == nil || o.Keep(resp.StatusCode, resp.Header))
+			return response, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
--- a/internal/engine/translator/translator.go
+++ b/internal/engine/translator/translator.go
@@ -81,19 +81,30 @@
 	return strconv.FormatInt(max(d.Milliseconds(), 1), 10)
 }
 
-// Matches returns true: these engines send a single response per request, so no
-// other one follows a response that belongs to another request.
-func (Translator) Matches(carrier.Request, carrier.ResponseHead, bool) bool { return true }
+// Matches reports whether a response can be that to a request: the first one on a
+// connection, or one that names the request. Another may be a late copy of an earlier one.
+func (Translator) Matches(r carrier.Request, h carrier.ResponseHead, first bool) bool {
+	return first || namesRequest(r, h)
+}
+
+// KeepsConnection reports whether the response names the request. An endpoint that does
+// not gets a new connection for each request.
+func (Translator) KeepsConnection(r carrier.Request, h carrier.ResponseHead) bool {
+	return namesRequest(r, h)
+}
+
+// identifiers are the headers in which a response names its request.
+var identifiers = []string{controller.HeaderRequestID, headerRequestID}
+
+// namesRequest reports whether a response has the identifier of a request.
+func namesRequest(r carrier.Request, h carrier.ResponseHead) bool {
+	return slices.ContainsFunc(identifiers, func(name string) bool { return h.Header.Get(name) == r.ID }) && !namesOtherRequest(r, h)
+}
 
 // namesOtherRequest reports whether a response has the identifier of another
 // request.
 func namesOtherRequest(r carrier.Request, h carrier.ResponseHead) bool {
-	for _, name := range []string{controller.HeaderRequestID, headerRequestID} {
-		if id := h.Header.Get(name); id != "" && id != r.ID {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(identifiers, func(name string) bool { id := h.Header.Get(name); return id != "" && id != r.ID })
 }
 
 // CheckHead checks the head of a response, and returns an error if the response
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 	// Matches reports whether the head of a response names the request; first means that
 	// nothing was received on the connection before.
 	Matches(r carrier.Request, h carrier.ResponseHead, first bool) bool
+	// KeepsConnection reports whether other requests may be sent on the connection of a
+	// response: one more copy of that can be told from the response to them.
+	KeepsConnection(r carrier.Request, h carrier.ResponseHead) bool
 	// CheckHead returns why the attempt has failed, judging by the head of a
 	// response. The outcome NotRun means that the endpoint itself reports that
 	// it has not begun the request.
@@ -222,6 +225,9 @@
 		Accept: func(status int, h http.Header, first bool) bool {
 			return f.Dialect.Matches(a.Request, carrier.ResponseHead{Status: status, Header: carrier.Header(h)}, first)
 		},
+		Keep: func(status int, h http.Header) bool {
+			return f.Dialect.KeepsConnection(a.Request, carrier.ResponseHead{Status: status, Header: carrier.Header(h)})
+		},
 	})
 	if err != nil {
 		return sendFailure(ctx, err)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -30,6 +30,9 @@
 // Matches accepts every response.
 func (dialect) Matches(carrier.Request, carrier.ResponseHead, bool) bool { return true }
 
+// KeepsConnection keeps every connection.
+func (dialect) KeepsConnection(carrier.Request, carrier.ResponseHead) bool { return true }
+
 // CheckHead accepts every response.
 func (dialect) CheckHead(forwarder.Attempt, carrier.ResponseHead) error { return nil }
 
