dispatcher, composer: requests that run at the end of a planned stop get a response

Reported by operators of systems like ours: in a planned stop of one node, in calm, requests that came late in the grace were passed on and cut with no answer at its end. Here it could happen: at the end the server of the callers was closed, whatever ran. Requests in flight at SIGTERM, accepted before the balancer had noticed, or whose head came in two halves were cut off if their endpoints took longer. Change: 200 ms before that, what runs is ended with the true outcome (502 or 504, 503 if it has not run). Requests that come during the stop get the time that is left, which is also the endpoint's deadline, and are refused as not run if that is probably too short. Connections after the balancer has noticed are not accepted, before and after.

--- a/internal/node/composer/stop.go
+++ b/internal/node/composer/stop.go
@@ -9,6 +9,9 @@
 const (
 	// finalUpdateDelay is the time for the last counts of a node to reach the hubs.
 	finalUpdateDelay = 700 * time.Millisecond
+	// finalResponseTime is the time in which the requests that are still running at the
+	// end of a stop get their responses.
+	finalResponseTime = 200 * time.Millisecond
 	// handOverTimeout limits each of the two steps of the handover. A successor is
 	// correct without them, but slower to take over.
 	handOverTimeout = 300 * time.Millisecond
@@ -24,6 +27,7 @@
 	if n.settings.StopTimeout == 0 {
 		remaining = n.settings.BalancerDelay + n.Limits().DrainTimeout
 	}
+	n.dispatcher.EndBy(n.clock.Now().Add(max(remaining-finalResponseTime, remaining/2)))
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	// If there is little time, half of it is kept for the requests in flight.
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -114,6 +114,12 @@
 	return r
 }
 
+// WithDeadline returns a copy with another deadline.
+func (r Request) WithDeadline(at time.Time) Request {
+	r.Deadline = at
+	return r
+}
+
 // WithRoute returns a copy with another route.
 func (r Request) WithRoute(route definer.Route) Request {
 	r.Route = route
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -309,6 +309,9 @@
 	if !d.Clock.Now().Before(job.request.Deadline) {
 		return coder.Wrap(coder.DeadlinePassed, cause, "the deadline has passed")
 	}
+	if d.stop.context().Err() != nil {
+		return coder.Wrap(coder.ShuttingDown, cause, "the node stops")
+	}
 	return coder.Wrap(coder.CallerGone, cause, "the caller has disconnected")
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -172,6 +172,7 @@
 	Nodes func() int
 	// Budgets holds the retry budget of each deployment.
 	Budgets keeper.Table[string, retrier.Bucket]
+	stop    stop
 }
 
 var (
@@ -185,8 +186,14 @@
 
 // Do serves a request through w and returns when that is done.
 func (d *Dispatcher) Do(ctx context.Context, r carrier.Request, w carrier.ResponseWriter) carrier.Result {
+	r, err := d.fitToStop(r)
+	if err != nil {
+		refused.Add(1)
+		return carrier.Result{Err: err}
+	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer context.AfterFunc(d.stop.context(), cancel)()
 	timer := d.Clock.AfterFunc(r.Deadline.Sub(d.Clock.Now()), cancel)
 	defer timer.Stop()
 	if !r.NeedsClaim() {
@@ -297,6 +304,9 @@
 	if job.caller.Err() != nil {
 		return coder.Refuse(coder.CallerGone, "the caller disconnected while the request was queued")
 	}
+	if d.stop.context().Err() != nil {
+		return coder.Refuse(coder.ShuttingDown, "the node stopped while the request was queued")
+	}
 	if job.ctx.Err() != nil || !d.Clock.Now().Before(r.Deadline) {
 		return coder.Refuse(coder.DeadlinePassed, "the deadline passed while the request was queued")
 	}
