forwarder, translator: comments in a stream are neither events nor progress

Reported by operators of systems like ours: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. Here a comment line of an engine (": wait"), which servers send to keep a connection open, ended a sound stream with 502; on the users' platform it counted as the first event and as progress. A byte of an event now and then does not count, before and after; without an idle timeout both end at the deadline. Change: a comment is passed over, on the users' platform passed on; it has no number and resets no timeout.

--- a/internal/engine/translator/translator.go
+++ b/internal/engine/translator/translator.go
@@ -179,6 +179,9 @@
 
 // Event decodes one event of an engine's stream.
 func (Translator) Event(a forwarder.Attempt, event []byte) (forwarder.Event, error) {
+	if forwarder.IsComment(event) {
+		return forwarder.Event{Comment: true}, nil
+	}
 	data, ok := eventData(event)
 	if !ok {
 		return forwarder.Event{}, coder.New(coder.EndpointFailed, "the engine sent an event without data")
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -45,8 +46,21 @@
 	// ID is the name of the event if the endpoint numbers its events.
 	ID string
 	// Last marks the end of a complete stream.
-	Last  bool
-	Usage carrier.Usage
+	Last bool
+	// Comment marks what is no event, such as a line that keeps a connection open: it
+	// is no progress and has no number.
+	Comment bool
+	Usage   carrier.Usage
+}
+
+// IsComment reports whether the lines of an event are comments only.
+func IsComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
 }
 
 // Dialect encodes requests for endpoints and interprets their responses.
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -207,7 +207,8 @@
 // complete one.
 func (x *relay) passEvents(ctx context.Context, w carrier.ResponseWriter) error {
 	r := bufio.NewReader(x.response.Body)
-	for first := true; ; first = false {
+	first := true
+	for {
 		data, err := readEvent(r)
 		if errors.Is(err, io.EOF) && !x.forwarder.Dialect.MarksEnd() {
 			if first && x.head.Undelimited {
@@ -218,44 +219,50 @@
 		if err != nil {
 			return readFailure(ctx, err)
 		}
-		x.watchdog.progress()
-		if first {
-			x.reportFirst()
-			x.watchdog.start(x.attempt.IdleTimeout, errIdleTimeout)
+		e, err := x.forwarder.Dialect.Event(x.attempt, data)
+		if err != nil {
+			return err
 		}
-		last, err := x.passEvent(ctx, w, data)
-		if last {
-			x.discard()
+		if !e.Comment {
+			x.watchdog.progress()
+			if first {
+				x.reportFirst()
+				x.watchdog.start(x.attempt.IdleTimeout, errIdleTimeout)
+			}
+			first = false
 		}
-		if last || err != nil {
+		if err := x.passEvent(ctx, w, e); err != nil {
 			return err
 		}
+		if e.Last {
+			x.discard()
+			return nil
+		}
 	}
 }
 
-func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, data []byte) (last bool, err error) {
-	e, err := x.forwarder.Dialect.Event(x.attempt, data)
-	if err != nil {
-		return false, err
-	}
+func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, e Event) error {
 	if e.Usage.Reported {
 		x.report.Usage = e.Usage
 	}
 	if len(e.Data) > 0 {
 		if err := x.begin(ctx, w); err != nil {
-			return false, err
+			return err
 		}
 		if err := x.write(ctx, w, e.Data); err != nil {
-			return false, err
+			return err
 		}
 	}
+	if e.Comment {
+		return nil
+	}
 	// An event that is not passed on also counts, because the endpoint has
 	// numbered it.
 	x.report.Events++
 	if e.ID != "" {
 		x.report.LastEventID = e.ID
 	}
-	return e.Last, nil
+	return nil
 }
 
 // readEvent returns the next event, including the blank line that ends it. It
