authenticator: the scheme of a credential is matched in any case and is required

Cause: "Bearer" was matched with its case, so callers that write "bearer" got 401; operators were let in with a bare secret, without a scheme. Change: one function reads the secret for both, by RFC 9110, section 11.1.

--- a/internal/auth/authenticator/authenticator.go
+++ b/internal/auth/authenticator/authenticator.go
@@ -55,8 +55,8 @@
 
 // Identify returns the caller whose key is in the Authorization header.
 func Identify(cfg definer.Config, authorization string) (Caller, error) {
-	secret, ok := strings.CutPrefix(authorization, "Bearer ")
-	if !ok || secret == "" {
+	secret, ok := bearerSecret(authorization)
+	if !ok {
 		return Caller{}, coder.Refuse(coder.KeyMissing, "the request has no bearer key")
 	}
 	hash := HashSecret(secret)
@@ -71,11 +71,18 @@
 	return Caller{Account: account, KeyID: key.ID}, nil
 }
 
+// bearerSecret returns the secret of an Authorization header; false if it has none. The
+// name of the scheme may be in any case.
+func bearerSecret(authorization string) (string, bool) {
+	scheme, secret, _ := strings.Cut(authorization, " ")
+	return secret, secret != "" && strings.EqualFold(scheme, "bearer")
+}
+
 // CheckOperator checks the credential of an operator against its hash.
 func CheckOperator(hash [32]byte, authorization string) error {
-	secret, _ := strings.CutPrefix(authorization, "Bearer ")
+	secret, ok := bearerSecret(authorization)
 	got := HashSecret(secret)
-	if secret == "" || subtle.ConstantTimeCompare(hash[:], got[:]) != 1 {
+	if !ok || subtle.ConstantTimeCompare(hash[:], got[:]) != 1 {
 		return coder.Refuse(coder.OperatorCredential, "the operator credential is missing or wrong")
 	}
 	return nil
