usage/reporter: a malformed row of a closed window does not stop the reports

Cause: a holder that takes the usage duty over read the rows of closed windows and gave up at the first that it could not read, at each attempt: no window was reported any more. Change: such a row is left out and logged; the other windows are reported.

--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -164,7 +164,9 @@
 	for _, row := range rows {
 		window, counts, err := decodeWindow(row)
 		if err != nil {
-			return err
+			// This window is not reported; the others are.
+			c.Log.Error().Str("key", row.Key).Err(err).Msg("malformed row of a closed window")
+			continue
 		}
 		state.closed[window] = counts
 	}
--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -160,6 +160,8 @@
 			t.Fatal(err)
 		}
 		delete(c.nodes, d.CmdArgs[0].Key)
+	case "row":
+		return c.putRow(t, d)
 	case "keys":
 		return c.keys(t, d.CmdArgs[0].Key)
 	case "store":
@@ -181,6 +183,14 @@
 	return strings.Join(append(reports, ""), "\n")
 }
 
+// putRow writes a row as another writer would.
+func (c *cluster) putRow(t *testing.T, d *datadriven.TestData) string {
+	if _, err := c.memory.Commit(t.Context(), transactor.Tx{}.WithPut(d.CmdArgs[0].Key, []byte(d.Input))); err != nil {
+		t.Fatal(err)
+	}
+	return ""
+}
+
 // keys lists the keys of the rows with a prefix.
 func (c *cluster) keys(t *testing.T, prefix string) string {
 	rows, err := transactor.ScanAll(t.Context(), c.memory, prefix)
