--- a/internal/request/dispatcher/stop.go
+++ b/internal/request/dispatcher/stop.go
@@ -43,15 +43,20 @@
 	return s.at
 }
 
+// plan sets when the requests have to end, and returns what ends those still running.
+func (s *stop) plan(at time.Time) (end context.CancelFunc) {
+	s.context()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = at
+	return s.cancel
+}
+
 // EndBy ends the requests of this node by a time: running ones get a response that says
 // that the node stops, and later ones get no more time than there is. One that would
 // probably not end in that time is refused, so that its caller can go elsewhere.
 func (d *Dispatcher) EndBy(at time.Time) {
-	_ = d.stop.context()
-	d.stop.mu.Lock()
-	d.stop.at = at
-	d.stop.mu.Unlock()
-	d.Clock.AfterFunc(at.Sub(d.Clock.Now()), d.stop.cancel)
+	d.Clock.AfterFunc(at.Sub(d.Clock.Now()), d.stop.plan(at))
 }
 
 // fitToStop returns the request with the time that is left before this node stops, or an
