--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -276,14 +276,15 @@
 // endless maps steps to what the server begins with and what it then repeats until
 // the connection is closed.
 var endless = map[string][2]string{
-	"endless-fields":  {"HTTP/1.1 200 OK\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
-	"endless-line":    {"HTTP/1.1 200 OK\r\nX-Field: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
-	"endless-status":  {"HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
-	"endless-noise":   {"", "\x00\x01\x02\x03noise noise noise noise noise"},
-	"endless-interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	"endless-crossed": {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
-	"endless-size":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
-	"endless-trailer": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+	"endless-fields":    {"HTTP/1.1 200 OK\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+	"endless-line":      {"HTTP/1.1 200 OK\r\nX-Field: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+	"endless-status":    {"HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+	"endless-noise":     {"", "\x00\x01\x02\x03noise noise noise noise noise"},
+	"endless-interim":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"endless-crossed":   {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"endless-size":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+	"endless-extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "name=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+	"endless-trailer":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
 }
 
 // maxEndless bounds the bytes of an endless response.
