--- a/internal/decision/placer/load_test.go
+++ b/internal/decision/placer/load_test.go
@@ -35,18 +35,20 @@
 	target, giveUp time.Duration
 }
 
-// prompt is one request of a load.
+// prompt is one request of a load; its times count from the start of the load.
 type prompt struct {
-	kind     int
-	arrived  time.Duration
-	tokens   int
-	queued   int // tokens that were queued before it
-	start    time.Duration
-	end      time.Duration
-	served   bool
-	inTarget bool
+	kind    int
+	arrived time.Duration
+	tokens  int
+	// start and end are those of its prefill.
+	start, end time.Duration
+	served     bool
+	inTarget   bool
 }
 
+// afterPrefill is the time from the end of the prefill to the first event.
+const afterPrefill = 20 * time.Millisecond
+
 // play places requests for some seconds and returns how often each kind was served:
 // all, and by size, the largest tenth and the fifth below it.
 func (w *fixture) play(t *testing.T, d *datadriven.TestData) string {
@@ -69,11 +71,7 @@
 	}
 	var out strings.Builder
 	for i, k := range l.kinds {
-		served := slices.DeleteFunc(slices.Clone(prompts), func(p *prompt) bool { return p.kind != i })
-		out.WriteString(k.summary(served))
-		for _, p := range served {
-			t.Logf("%s %6d tokens, queued %6d, %v", k.name, p.tokens, p.queued, p.served)
-		}
+		out.WriteString(k.summary(slices.DeleteFunc(slices.Clone(prompts), func(p *prompt) bool { return p.kind != i })))
 	}
 	return out.String()
 }
@@ -144,12 +142,11 @@
 		return
 	}
 	id := plan.Prefill.Endpoint.ID
-	p.queued = l.queued(id, p.arrived)
+	queued := l.queued(id, p.arrived)
 	p.start = p.arrived
 	if queue := l.busy[id]; len(queue) > 0 {
 		p.start = max(p.start, queue[len(queue)-1].end)
 	}
-	const afterPrefill = 20 * time.Millisecond
 	p.end = p.start + time.Duration(float64(p.tokens)/l.rate*float64(time.Millisecond))
 	first := p.end + afterPrefill - p.arrived
 	p.served, p.inTarget = first <= k.giveUp, first <= k.target
@@ -157,7 +154,7 @@
 	p.end = max(min(p.end, p.arrived+k.giveUp), p.start)
 	l.busy[id] = append(l.busy[id], p)
 	if p.served {
-		l.speed = l.speed.WithPrefill(p.queued+p.tokens, p.end-p.arrived)
+		l.speed = l.speed.WithPrefill(queued+p.tokens, p.end-p.arrived)
 	}
 }
 
