dispatcher: what a stop ends has the code of a deadline

Cause: 407 (the node is shutting down) is a refusal of requests that have not run, status 503 in the front end for OpenAI clients, whose client libraries repeat it; requests that a stop ended while they ran had it, too. Change: they have code 401, as their deadline is the end of the stop: 504 with the outcome; 503 on the users' platform if they have not run, as before.

--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -310,7 +310,7 @@
 		return coder.Wrap(coder.DeadlinePassed, cause, "the deadline has passed")
 	}
 	if d.stop.context().Err() != nil {
-		return coder.Wrap(coder.ShuttingDown, cause, "the node stops")
+		return coder.Wrap(coder.DeadlinePassed, cause, "the time of the node to stop has ended")
 	}
 	return coder.Wrap(coder.CallerGone, cause, "the caller has disconnected")
 }
