planner, platform, lab: unused names and small faults that readers have found

The stand-in of the platform kept the caller's slice of VMs for its delayed rows; a script took 10 to 19 requests in flight for one; the demonstration printed "%!w(<nil>)" if a withdrawn key was accepted. No change of the nodes.

--- a/internal/decision/planner/state.go
+++ b/internal/decision/planner/state.go
@@ -83,7 +83,6 @@
 	ReasonAtMaximum       Reason = "at-maximum"
 	ReasonRunningWork     Reason = "running-work"
 	ReasonSurplusTooShort Reason = "surplus-too-short"
-	ReasonTooManyAtOnce   Reason = "too-many-at-once"
 )
 
 // Rejected is a data centre and tier, or an endpoint, with the reason.
--- a/internal/lab/demonstrator/steps.go
+++ b/internal/lab/demonstrator/steps.go
@@ -1,6 +1,7 @@
 package demonstrator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,9 @@
 	"foxtailflow.example/foxtailflow/internal/command/printer"
 )
 
+// errNoRefusal says that a request was answered.
+var errNoRefusal = errors.New("the request was answered")
+
 // usageTotals are usage counts summed over requests.
 type usageTotals struct {
 	requests     int64
@@ -141,7 +145,7 @@
 		_, err := c.Chat.Completions.New(ctx, chatParams("May I still ask?", 4))
 		var refusal *openai.Error
 		if !errors.As(err, &refusal) || refusal.StatusCode != http.StatusUnauthorized {
-			return fmt.Errorf("node %d did not refuse the withdrawn key: %w", node+1, err)
+			return fmt.Errorf("node %d did not refuse the withdrawn key: %w", node+1, cmp.Or(err, errNoRefusal))
 		}
 		d.printf("   node %d: %d, code %s, %s", node+1, refusal.StatusCode, refusal.Code, resp.Header.Get("Foxtailflow-Outcome"))
 		baden := d.client(node, callerSecret, &resp)
--- a/internal/lab/provider/fleet.go
+++ b/internal/lab/provider/fleet.go
@@ -24,7 +24,8 @@
 }
 
 func (m *Memory) setVMsLocked(vms []supplier.VM) {
-	m.vms = slices.Clone(vms)
+	vms = slices.Clone(vms)
+	m.vms = vms
 	m.afterLocked(m.VMRowLag, func() { m.writeVMRowsLocked(vms) })
 }
 
--- a/internal/lab/starter/stream_test.go
+++ b/internal/lab/starter/stream_test.go
@@ -64,7 +64,7 @@
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for i, other := range []string{"ENGINE2", "ENGINE1"} {
 			state, err := send([]string{"GET", fmt.Sprintf("http://127.0.0.1:%s/engine/state", ts.Getenv(fmt.Sprintf("ENGINE%d", i+1)))})
-			if err == nil && strings.Contains(state, `"in-flight":1`) {
+			if err == nil && inFlightPattern.MatchString(state) {
 				ts.Setenv(args[0], fmt.Sprintf("engine%d", i+1))
 				ts.Setenv(args[1], ts.Getenv(other))
 				return
@@ -76,6 +76,9 @@
 
 var contentPattern = regexp.MustCompile(`"delta":\{"role":"assistant","content":"[^"]*"`)
 
+// inFlightPattern matches the state of an engine with one request.
+var inFlightPattern = regexp.MustCompile(`"in-flight":1\b`)
+
 // cmdSameText checks that two streams have the same text: same-text FILE FILE.
 func cmdSameText(ts *testscript.TestScript, _ bool, args []string) {
 	a := contentPattern.FindAllString(ts.ReadFile(args[0]), -1)
