receiver: the closing error event of a stream comes after a pause as well

Callers saw: a stream that broke off after a pause of more than the write timeout ended without its error event; the connection was cut, so no client took it for complete. Cause: the write deadline is set with each write, and that of the last one had passed. Change: the error event has a write deadline of its own. Result: testdata/endings failed before ("error event false") and passes. The unmodified SDK reports an error for each way in which a response breaks off, and did before.

--- a/internal/front/receiver/response.go
+++ b/internal/front/receiver/response.go
@@ -75,6 +75,7 @@
 		return
 	}
 	if resp.stream {
+		_ = resp.control.SetWriteDeadline(resp.clock.Now().Add(resp.writeTimeout))
 		_, _ = resp.w.Write(encoder.EncodeErrorEvent(f))
 		_ = resp.control.Flush()
 	}
