--- a/internal/request/dispatcher/stop.go
+++ b/internal/request/dispatcher/stop.go
@@ -19,8 +19,8 @@
 	cancel context.CancelFunc
 }
 
-// minStopTime is the least time that a request of a route without a latency target may
-// need; a request whose route has one may need stopTargets times that.
+// A request is expected to need minStopTime, or stopTargets times the latency target of its
+// route if that is longer.
 const (
 	minStopTime = time.Second
 	stopTargets = 2
