--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -44,8 +44,30 @@
 type cluster struct {
 	store *fakeStore
 	stop  func()
-	nodes map[string]*node
 	ctx   context.Context
+
+	// mu guards nodes, which the script adds to while nodes look for one another.
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+// other returns the name of any node but the given one, or "".
+func (c *cluster) other(than string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.nodes {
+		if name != than {
+			return name
+		}
+	}
+	return ""
+}
+
+// node returns a node.
+func (c *cluster) node(name string) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
 }
 
 type node struct {
@@ -182,7 +204,9 @@
 	if gap {
 		n.follower.ChangeDelay = 200 * time.Millisecond
 	}
+	c.mu.Lock()
 	c.nodes[name] = n
+	c.mu.Unlock()
 	go n.follower.Run(c.ctx)
 }
 
@@ -194,12 +218,7 @@
 	if n.source != "" || !unavailable || n.noSource {
 		return n.source
 	}
-	for name := range n.cluster.nodes {
-		if name != n.name {
-			return name
-		}
-	}
-	return ""
+	return n.cluster.other(n.name)
 }
 
 // MarkFailed counts failed sources.
@@ -220,7 +239,7 @@
 	})
 	defer deliverer.Wait()
 	defer close(delayed)
-	return n.cluster.nodes[address].follower.Serve(ctx, changed, func(c courier.TableContent) error {
+	return n.cluster.node(address).follower.Serve(ctx, changed, func(c courier.TableContent) error {
 		n.mu.Lock()
 		at := time.Now().Add(n.lag)
 		n.mu.Unlock()
