explainer: the line of a failed attempt says on what connection its response came

Three causes fit it: bytes inside one response, bytes of an earlier response on a kept connection, and a resumed stream that is joined wrongly. The line of a failed attempt had the number of the attempt only, so the second one could not be told from the others.

The line now has reused-connection, whether the connection of the response had carried a request before, and events, how many of the stream there were until then; explain prints both.

--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -71,7 +71,9 @@
 	// Delimited means that a complete body can be distinguished from a truncated
 	// one.
 	Delimited bool
-	Body      io.ReadCloser
+	// Reused means that the connection had carried a request before.
+	Reused bool
+	Body   io.ReadCloser
 }
 
 // Send sends a request once and returns when the head of the response has been
@@ -294,6 +296,7 @@
 		Header:    resp.Header,
 		Length:    resp.ContentLength,
 		Delimited: chunked || resp.ContentLength >= 0,
+		Reused:    x.conn.reused,
 	}
 	x.idleTimeout = x.transport.idleTimeout(resp.Header)
 	x.reusable = response.Delimited && !resp.Close
--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -54,6 +54,8 @@
 	FieldListSource      = "list-source"
 	FieldBegun           = "begun"
 	FieldParts           = "parts"
+	FieldReused          = "reused-connection"
+	FieldEvents          = "events"
 )
 
 // The kinds of decision.
@@ -159,6 +161,13 @@
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []string
 	Err   error
+	// HeadReceived means that the head of a response was received, ConnectionReused that
+	// the connection of this response had carried a request before.
+	HeadReceived     bool
+	ConnectionReused bool
+	// Events is the number of events of the stream so far, those of earlier attempts
+	// included.
+	Events int
 }
 
 // maxLoggedParts bounds the prompt parts in the line of an attempt.
@@ -169,6 +178,9 @@
 	f := coder.FromError(a.Err)
 	line := log.Warn().Str(FieldDecision, Attempt).Str(FieldRequest, a.Request).Str(FieldEndpoint, a.Endpoint).
 		Int(FieldAttempt, a.Attempt).Int(FieldCode, int(f.Code())).Str(FieldOutcome, f.Outcome().String()).Str(FieldReason, f.Message())
+	if a.HeadReceived {
+		line = line.Bool(FieldReused, a.ConnectionReused).Int(FieldEvents, a.Events)
+	}
 	if len(a.Parts) > 0 {
 		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts[:min(len(a.Parts), maxLoggedParts)])
 	}
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -34,6 +34,7 @@
 	explainer.LogPrefillFailure(log, "req-3", "engine-2", coder.New(coder.ConnectionLost, "connection reset"))
 	explainer.LogAttempt(log, explainer.FailedAttempt{
 		Request: "req-3", Endpoint: "engine-1", Attempt: 1, Parts: []string{"5c1e07a2", "91bd3f06"},
+		HeadReceived: true, ConnectionReused: true, Events: 3,
 		Err: coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"),
 	})
 	explainer.LogEnd(log, explainer.RequestEnd{
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -45,6 +45,10 @@
 	// response to it had begun.
 	Parts []string
 	Begun bool
+	// HeadReceived says that the head of a response to a failed attempt was received,
+	// ConnectionReused that its connection had carried a request before.
+	HeadReceived     bool
+	ConnectionReused bool
 	// OtherFigures are the figures of the other fields.
 	OtherFigures []string
 }
@@ -116,6 +120,7 @@
 		_, _ = fmt.Fprintf(&b, "  %s did not prefill the prompt: %s\n", l.Endpoint, l.Reason)
 	case l.Decision == Attempt:
 		_, _ = fmt.Fprintf(&b, "  failed at %s, %s, code %d: %s%s\n", l.Endpoint, l.Outcome, l.Code, l.Reason, l.causeText())
+		l.writeConnection(&b)
 		l.writeParts(&b)
 	case l.Decision == End && l.Code != 0:
 		_, _ = fmt.Fprintf(&b, "  %s, code %d: %s%s%s\n", l.Outcome, l.Code, l.Reason, l.causeText(), l.retryText())
@@ -154,6 +159,18 @@
 	return b.String()
 }
 
+// writeConnection writes whether the connection of a response was reused.
+func (l Line) writeConnection(b *strings.Builder) {
+	if !l.HeadReceived {
+		return
+	}
+	state := "new"
+	if l.ConnectionReused {
+		state = "reused"
+	}
+	_, _ = fmt.Fprintf(b, "  response on a %s connection\n", state)
+}
+
 // writeParts writes the shared parts of the prompt, if there are any.
 func (l Line) writeParts(b *strings.Builder) {
 	if len(l.Parts) == 0 {
@@ -223,6 +240,12 @@
 			return d.Skip()
 		}
 		l.Begun, err = d.Bool()
+	case FieldReused:
+		if d.Next() != jx.Bool {
+			return d.Skip()
+		}
+		l.HeadReceived = true
+		l.ConnectionReused, err = d.Bool()
 	case FieldFigures:
 		l.Figures, err = decodeFigures(d)
 	case FieldBasis, FieldPrefillBasis:
@@ -230,7 +253,7 @@
 		for i := range figures {
 			figures[i] = name + " " + figures[i]
 		}
-	case FieldPrefillTime, FieldFirstOutputTime, FieldDuration, FieldAttempt, FieldAttempts, FieldConfigVersion, FieldPromptTokens, FieldPrefillRate, FieldListVersion, FieldListAge:
+	case FieldPrefillTime, FieldFirstOutputTime, FieldDuration, FieldAttempt, FieldAttempts, FieldEvents, FieldConfigVersion, FieldPromptTokens, FieldPrefillRate, FieldListVersion, FieldListAge:
 		if d.Next() != jx.Number {
 			return d.Skip()
 		}
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -234,6 +234,7 @@
 		c.freshConnection = c.freshConnection || coder.Is(err, coder.ConnectionLost)
 		explainer.LogAttempt(d.Log, explainer.FailedAttempt{
 			Request: c.job.request.ID, Endpoint: e.ID, Attempt: c.attempts, Begun: begun, Parts: c.job.request.SharedParts(), Err: err,
+			HeadReceived: !rep.HeadAt.IsZero(), ConnectionReused: rep.ConnectionReused, Events: rep.Events,
 		})
 	}
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -161,6 +161,9 @@
 	// FailureResponse is a complete response by which the endpoint failed the
 	// request; it was not passed on.
 	FailureResponse carrier.Response
+	// ConnectionReused says that the connection of the response had carried a request
+	// before.
+	ConnectionReused bool
 	// SentAt is when sending began, HeadAt when the head of the response was
 	// received.
 	SentAt time.Time
@@ -248,6 +251,7 @@
 	}
 	x.record(attempter.ResponseBegan{})
 	x.report.HeadAt = f.Clock.Now()
+	x.report.ConnectionReused = response.Reused
 	x.response = response
 	x.head = carrier.ResponseHead{
 		Status:      response.Status,
