platform: only the next event of a stream reaches the caller

The platform's dialect forwarded any block of lines that ends with a blank line as an event, and compared its last id line only with the event after which the stream had been resumed.

The identifier is a number in its only form. forwarder.Sequence decides whether an event is the next one of its stream, for any dialect that numbers its events; a stream has no more events than the request has output tokens. What is refused ends the attempt before it counts as first data, progress or an event, so that a stream goes on after its last sound event at another endpoint if its route allows, and is cut off otherwise. The error has the size of the refused block and the number that was due, never its bytes.

--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -95,8 +95,9 @@
 	HideUsage bool
 	// Priority orders requests; a higher one goes first.
 	Priority int
-	// LastEventID is the name of the last stream event that the caller already has.
-	LastEventID string
+	// LastEvent is the number of the last stream event that the caller already has, 0 for
+	// none.
+	LastEvent uint64
 	// Prompt is the raw text by which prompts with equal prefixes are found.
 	Prompt []byte
 	// PromptParts are the parts of the prompt in order, if the caller names them
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -30,10 +30,10 @@
 	// used it.
 	prefilled prefilledPrompt
 	// sentTo has the addresses that the request, or its prompt, may have been sent to.
-	sentTo      []string
-	eventsDone  int
-	lastEventID string
-	result      carrier.Result
+	sentTo     []string
+	eventsDone int
+	lastEvent  uint64
+	result     carrier.Result
 	// failureResponse is a response by which an endpoint failed the request; it
 	// is passed on if no other attempt gives a better one.
 	failureResponse carrier.Response
@@ -50,7 +50,7 @@
 // allowed.
 func (d *Dispatcher) run(job *Job, w carrier.ResponseWriter, rule definer.Rule, start attempter.Attempt) carrier.Result {
 	r := job.request
-	c := &execution{job: job, writer: w, rule: rule, initial: start, lastEventID: r.LastEventID, maxConnections: d.maxConnections(r.Route.Deployment)}
+	c := &execution{job: job, writer: w, rule: rule, initial: start, lastEvent: r.LastEvent, maxConnections: d.maxConnections(r.Route.Deployment)}
 	d.creditBudget(r, rule)
 	for {
 		if err := d.checkPrompt(r); err != nil {
@@ -175,7 +175,7 @@
 		InitialState:  c.initial,
 		ResponseBegun: c.history.PartlyDelivered(),
 		EventsDone:    c.eventsDone,
-		LastEventID:   c.lastEventID,
+		LastEvent:     c.lastEvent,
 		Resume:        resume,
 		Source:        c.prefilled.handle,
 		IdleTimeout:   c.rule.IdleTimeout,
@@ -279,7 +279,7 @@
 
 // apply adds the report of an attempt to the result.
 func (c *execution) apply(d *Dispatcher, e picker.Endpoint, rep forwarder.Report) {
-	c.eventsDone, c.lastEventID = rep.Events, rep.LastEventID
+	c.eventsDone, c.lastEvent = rep.Events, rep.LastEvent
 	c.result.ResponseBegun = rep.ResponseBegun
 	c.result.Endpoint = e.ID
 	if rep.Status != 0 {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -43,8 +43,9 @@
 type Event struct {
 	// Data is what the caller is sent; empty means nothing.
 	Data []byte
-	// ID is the name of the event if the endpoint numbers its events.
-	ID string
+	// Number is the place of the event in the stream from 1 if the endpoint numbers its
+	// events, or 0.
+	Number uint64
 	// Last marks the end of a complete stream.
 	Last bool
 	// Comment marks what is no event, such as a line that keeps a connection open: it
@@ -82,7 +83,8 @@
 	Mode(a Attempt, h carrier.ResponseHead) Mode
 	// CheckResponse checks a response that was read completely.
 	CheckResponse(a Attempt, h carrier.ResponseHead, body []byte) (carrier.Usage, error)
-	// Event decodes one event, including the blank line that ends it.
+	// Event decodes one event, including the blank line that ends it. It fails for bytes
+	// that are no event of this protocol.
 	Event(a Attempt, event []byte) (Event, error)
 	// MarksEnd reports whether a stream is complete only after an event that is
 	// marked as its last.
@@ -120,9 +122,10 @@
 	// ResponseBegun says that the caller already has a part of the response.
 	ResponseBegun bool
 	// EventsDone is the number of stream events that the caller already has,
-	// LastEventID the name of the last of them.
-	EventsDone  int
-	LastEventID string
+	// LastEvent the number of the last of them, which counts those that it had before
+	// the request.
+	EventsDone int
+	LastEvent  uint64
 	// Resume continues the stream at the engine that began it.
 	Resume bool
 	// PrefillOnly only prefills the prompt, which the engine keeps under a handle.
@@ -150,11 +153,11 @@
 	ResponseBegun bool
 	// Status is the status of the response that was begun.
 	Status int
-	// Events is the total number of stream events processed, LastEventID the name
+	// Events is the total number of stream events processed, LastEvent the number
 	// of the last one.
-	Events      int
-	LastEventID string
-	Usage       carrier.Usage
+	Events    int
+	LastEvent uint64
+	Usage     carrier.Usage
 	// Load is the load that the endpoint reports, valid if HasLoad is set.
 	Load    carrier.Load
 	HasLoad bool
@@ -198,7 +201,7 @@
 		state.Update(func(at attempter.Attempt) (attempter.Attempt, bool) { return at.With(e), true })
 	}
 	state.Update(func(attempter.Attempt) (attempter.Attempt, bool) { return a.InitialState, true })
-	rep := Report{ResponseBegun: a.ResponseBegun, Events: a.EventsDone, LastEventID: a.LastEventID}
+	rep := Report{ResponseBegun: a.ResponseBegun, Events: a.EventsDone, LastEvent: a.LastEvent}
 	x := &relay{forwarder: f, attempt: a, report: &rep, record: record, watchdog: watchdog{clock: f.Clock, cancel: cancel}}
 	defer x.watchdog.stop()
 	err := x.send(ctx)
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -207,6 +207,7 @@
 // complete one.
 func (x *relay) passEvents(ctx context.Context, w carrier.ResponseWriter) error {
 	r := bufio.NewReader(x.response.Body)
+	position := NewSequence(x.attempt.LastEvent, uint64(max(x.attempt.Request.MaxTokens, 0)))
 	first := true
 	for {
 		data, err := readEvent(r)
@@ -219,10 +220,11 @@
 		if err != nil {
 			return readFailure(ctx, err)
 		}
-		e, err := x.forwarder.Dialect.Event(x.attempt, data)
+		e, next, err := x.decodeEvent(position, data)
 		if err != nil {
 			return err
 		}
+		position = next
 		if !e.Comment {
 			x.watchdog.progress()
 			if first {
@@ -231,7 +233,7 @@
 			}
 			first = false
 		}
-		if err := x.passEvent(ctx, w, e); err != nil {
+		if err := x.passEvent(ctx, w, e, position); err != nil {
 			return err
 		}
 		if e.Last {
@@ -241,7 +243,21 @@
 	}
 }
 
-func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, e Event) error {
+// decodeEvent decodes an event and returns the position after it. It fails if the event is
+// not the one that is due; the error does not contain the bytes.
+func (x *relay) decodeEvent(position Sequence, data []byte) (Event, Sequence, error) {
+	e, err := x.forwarder.Dialect.Event(x.attempt, data)
+	if err == nil && !e.Comment {
+		position, err = position.With(e)
+	}
+	if err != nil {
+		return e, position, coder.Wrap(coder.FromError(err).Code(), err, "the endpoint sent %d bytes in place of event %d", len(data), position.Next())
+	}
+	return e, position, nil
+}
+
+// passEvent passes an event on; position is the one after it.
+func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, e Event, position Sequence) error {
 	if e.Usage.Reported {
 		x.report.Usage = e.Usage
 	}
@@ -259,9 +275,7 @@
 	// An event that is not passed on also counts, because the endpoint has
 	// numbered it.
 	x.report.Events++
-	if e.ID != "" {
-		x.report.LastEventID = e.ID
-	}
+	x.report.LastEvent = position.Last()
 	return nil
 }
 
