forwarder: a line that fills the read buffer does not end its event

readEvent took a read without a line end for a line of its own. After a line of exactly 4,096 bytes, or a multiple, the rest "\n" looked like the blank line that ends an event: the event was passed on without its blank line, and the caller's parser joined it with the next one. Blank is now judged on the whole line.

--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -283,9 +283,10 @@
 // returns io.EOF only if the stream ends between two events.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
 		if errors.Is(err, io.EOF) && len(event) > 0 {
 			return nil, io.ErrUnexpectedEOF
 		}
@@ -295,12 +296,17 @@
 		if len(event) > maxEvent {
 			return nil, coder.New(coder.EndpointFailed, "an event is larger than %d bytes", maxEvent)
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
+		if err != nil {
+			// The line is longer than the buffer.
+			continue
 		}
-		if err == nil && len(event) == len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
+			if lineStart > 0 {
+				return event, nil
+			}
 			event = event[:0]
 		}
+		lineStart = len(event)
 	}
 }
 
