translator: an event of an OpenAI engine is one line of JSON and nothing else

Bytes after the object, bytes that are not UTF-8, and carriage returns, which end a line for a client, reached the caller; lines that are no field and a second data line were dropped in silence, although an engine that sends them is out of step.

DecodeResponse now demands one JSON object in UTF-8 and nothing else, which also holds for responses that are no stream. An event has fields of the format only, and one data line. An identifier of another request is cut to 64 bytes before it is logged.

A repeated event cannot be told: these engines do not number their events.

--- a/internal/engine/controller/response.go
+++ b/internal/engine/controller/response.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"unicode/utf8"
 
 	"github.com/go-faster/jx"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 )
 
 // Response has the fields that a node reads of an engine's response, or of one
@@ -22,8 +25,12 @@
 	Failed bool
 }
 
-// DecodeResponse decodes a response or an event; other fields are skipped.
+// DecodeResponse decodes a response or an event; other fields are skipped. The data must be
+// one JSON object in UTF-8 and nothing else.
 func DecodeResponse(data []byte) (resp Response, err error) {
+	if !utf8.Valid(data) || !jx.Valid(data) {
+		return resp, coder.New(coder.EndpointFailed, "malformed message from an endpoint")
+	}
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "id":
--- a/internal/engine/translator/translator.go
+++ b/internal/engine/translator/translator.go
@@ -7,6 +7,7 @@
 package translator
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -163,9 +164,12 @@
 	return usageOf(response), checkID(a, response.ID)
 }
 
+// maxLoggedID bounds an identifier of an endpoint in an error, in bytes.
+const maxLoggedID = 64
+
 func checkID(a forwarder.Attempt, id string) error {
 	if !strings.HasSuffix(id, a.Request.ID) {
-		return coder.New(coder.AnswerCrossed, "a part of the response belongs to %q", id)
+		return coder.New(coder.AnswerCrossed, "a part of the response belongs to %.*q", maxLoggedID, id)
 	}
 	return nil
 }
@@ -182,9 +186,9 @@
 	if forwarder.IsComment(event) {
 		return forwarder.Event{Comment: true}, nil
 	}
-	data, ok := eventData(event)
-	if !ok {
-		return forwarder.Event{}, coder.New(coder.EndpointFailed, "the engine sent an event without data")
+	data, err := eventData(event)
+	if err != nil {
+		return forwarder.Event{}, err
 	}
 	if controller.IsDone(data) {
 		return forwarder.Event{Data: encodeEvent(data), Last: true}, nil
@@ -206,14 +210,33 @@
 	return e, nil
 }
 
-// eventData returns the first data line of an event.
-func eventData(event []byte) ([]byte, bool) {
-	for l := range strings.Lines(string(event)) {
-		if data, ok := controller.EventData([]byte(l)); ok {
-			return data, true
+// eventFields are the fields of an event stream; only data has a meaning here.
+var eventFields = []string{"", "data", "event", "id", "retry"}
+
+// eventData returns the data of an event, which engines send in one line.
+func eventData(event []byte) ([]byte, error) {
+	var data []byte
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		d, isData := controller.EventData(line)
+		switch {
+		case !slices.Contains(eventFields, string(name)), bytes.ContainsRune(line, '\r'):
+			// A carriage return alone also ends a line of an event stream.
+			return nil, coder.New(coder.EndpointFailed, "a line of the event is not a field")
+		case isData && data != nil:
+			return nil, coder.New(coder.EndpointFailed, "the event has two lines of data")
+		case isData:
+			data = d
 		}
 	}
-	return nil, false
+	if data == nil {
+		return nil, coder.New(coder.EndpointFailed, "the engine sent an event without data")
+	}
+	return data, nil
 }
 
 // encodeEvent returns an event in the form that is sent to the caller.
