forwarder: a stream without an event is not complete

A chunked stream that ended before its first event was passed on as a whole 200 with an empty body. A run has an event at least, so an endpoint that ends a stream this way has failed; streams that end with their connection were judged so already. A continued stream may have no event left. TestForeignEvents on the code before:

send /once/ plan=(w1, w2) w1=script w2=events pause

expected: sign of w1@1: failed caller: 502 "" found: sign of w1@1: good caller: 200 ""

--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -212,8 +212,9 @@
 	for {
 		data, err := readEvent(r)
 		if errors.Is(err, io.EOF) && !x.forwarder.Dialect.MarksEnd() {
-			if first && x.head.Undelimited {
-				return coder.New(coder.AnswerCut, "the stream ended with its connection before an event")
+			if first && (x.head.Undelimited || position.Last() == 0) {
+				// A run has an event at least; only a continued stream may have none left.
+				return coder.New(coder.AnswerCut, "the stream ended before an event")
 			}
 			return x.begin(ctx, w)
 		}
