--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -207,22 +207,25 @@
 // complete one.
 func (x *relay) passEvents(ctx context.Context, w carrier.ResponseWriter) error {
 	r := bufio.NewReader(x.response.Body)
+	position := NewSequence(x.attempt.LastEvent, uint64(max(x.attempt.Request.MaxTokens, 0)))
 	first := true
 	for {
 		data, err := readEvent(r)
 		if errors.Is(err, io.EOF) && !x.forwarder.Dialect.MarksEnd() {
-			if first && x.head.Undelimited {
-				return coder.New(coder.AnswerCut, "the stream ended with its connection before an event")
+			if first && (x.head.Undelimited || position.Last() == 0) {
+				// A run has an event at least; only a continued stream may have none left.
+				return coder.New(coder.AnswerCut, "the stream ended before an event")
 			}
 			return x.begin(ctx, w)
 		}
 		if err != nil {
 			return readFailure(ctx, err)
 		}
-		e, err := x.forwarder.Dialect.Event(x.attempt, data)
+		e, next, err := x.decodeEvent(position, data)
 		if err != nil {
 			return err
 		}
+		position = next
 		if !e.Comment {
 			x.watchdog.progress()
 			if first {
@@ -231,7 +234,7 @@
 			}
 			first = false
 		}
-		if err := x.passEvent(ctx, w, e); err != nil {
+		if err := x.passEvent(ctx, w, e, position); err != nil {
 			return err
 		}
 		if e.Last {
@@ -241,7 +244,21 @@
 	}
 }
 
-func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, e Event) error {
+// decodeEvent decodes an event and returns the position after it. It fails if the event is
+// not the one that is due; the error does not contain the bytes.
+func (x *relay) decodeEvent(position Sequence, data []byte) (Event, Sequence, error) {
+	e, err := x.forwarder.Dialect.Event(x.attempt, data)
+	if err == nil && !e.Comment {
+		position, err = position.With(e)
+	}
+	if err != nil {
+		return e, position, coder.Wrap(coder.FromError(err).Code(), err, "the endpoint sent %d bytes in place of event %d", len(data), position.Next())
+	}
+	return e, position, nil
+}
+
+// passEvent passes an event on; position is the one after it.
+func (x *relay) passEvent(ctx context.Context, w carrier.ResponseWriter, e Event, position Sequence) error {
 	if e.Usage.Reported {
 		x.report.Usage = e.Usage
 	}
@@ -259,9 +276,7 @@
 	// An event that is not passed on also counts, because the endpoint has
 	// numbered it.
 	x.report.Events++
-	if e.ID != "" {
-		x.report.LastEventID = e.ID
-	}
+	x.report.LastEvent = position.Last()
 	return nil
 }
 
@@ -269,9 +284,10 @@
 // returns io.EOF only if the stream ends between two events.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
 		if errors.Is(err, io.EOF) && len(event) > 0 {
 			return nil, io.ErrUnexpectedEOF
 		}
@@ -281,12 +297,17 @@
 		if len(event) > maxEvent {
 			return nil, coder.New(coder.EndpointFailed, "an event is larger than %d bytes", maxEvent)
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
+		if err != nil {
+			// The line is longer than the buffer.
+			continue
 		}
-		if err == nil && len(event) == len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
+			if lineStart > 0 {
+				return event, nil
+			}
 			event = event[:0]
 		}
+		lineStart = len(event)
 	}
 }
 
