front: a response that is cut off ends with a reset to callers of HTTP/1.0

A caller that knows no chunks takes the end of its connection for the end of a body without a length. Both fronts aborted a response that was begun and not complete by closing the connection, which a caller of HTTP/1.1 sees as a body without its last chunk, and a caller of HTTP/1.0 as a whole body.

TestHeads sends responses cut after each of their bytes, closed, reset or silent from there, through both fronts, and malformed heads.

What stays: the kernel closes the connections of a node that is killed, and such a caller cannot tell.

A head that breaks off reached no caller as a response in any case: each byte of a head, on new and reused connections, after interim responses, with bare line feeds, gives a failure or a repeat. A response without a length whose connection is closed after its head is complete by the protocol: the platform front passes it on, the OpenAI front fails it unless it is an event stream.

--- a/internal/base/acceptor/acceptor.go
+++ b/internal/base/acceptor/acceptor.go
@@ -152,6 +152,31 @@
 	})
 }
 
+// Abort ends the response to r, which was begun and is not complete, so that the caller
+// sees that it is cut off. It does not return.
+func Abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// A caller that knows no chunks takes the end of its connection for that of the
+		// body, unless the connection is reset.
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(c)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection of an HTTP server with a reset.
+func reset(c net.Conn) {
+	raw := c
+	if tracked, ok := c.(*conn); ok {
+		raw = tracked.Conn
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Shutdown accepts no more connections, closes the idle ones, and waits until all
 // in-flight requests have their responses. If ctx is done before, Shutdown returns its
 // error. It is called once.
--- a/internal/front/receiver/endings_test.go
+++ b/internal/front/receiver/endings_test.go
@@ -100,5 +100,5 @@
 	if !d.HasArg("complete") {
 		err = coder.New(coder.AnswerCut, "the response was cut off")
 	}
-	resp.finish(carrier.Result{Err: err})
+	resp.finish(r, carrier.Result{Err: err})
 }
--- a/internal/front/receiver/model.go
+++ b/internal/front/receiver/model.go
@@ -51,7 +51,7 @@
 	if b, ok := req.Body.Stream.(*streamedBody); ok && r.Context().Err() != nil {
 		result.Err = b.requestError(result.Err)
 	}
-	resp.finish(result)
+	resp.finish(r, result)
 }
 
 // writeTimeout returns how long a caller may take to read a chunk of its response.
--- a/internal/front/receiver/response.go
+++ b/internal/front/receiver/response.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
@@ -65,11 +66,11 @@
 //
 // A response that was begun and is incomplete never ends normally: a stream gets an
 // error event, and the connection is closed in any case.
-func (resp *response) finish(r carrier.Result) {
-	if r.Err == nil {
+func (resp *response) finish(r *http.Request, result carrier.Result) {
+	if result.Err == nil {
 		return
 	}
-	f := coder.FromError(r.Err)
+	f := coder.FromError(result.Err)
 	if !resp.begun {
 		encoder.WriteRefusal(resp.w, f)
 		return
@@ -79,5 +80,5 @@
 		_, _ = resp.w.Write(encoder.EncodeErrorEvent(f))
 		_ = resp.control.Flush()
 	}
-	panic(http.ErrAbortHandler)
+	acceptor.Abort(resp.w, r)
 }
