roundtripper: a response of HTTP/1.0 in chunks fails

The standard library drops Transfer-Encoding from a head of HTTP/1.0 and reads the body by its length or up to the end of the connection, with the sizes of the chunks in it. No rule says where such a body ends (RFC 9112, 6.1: "as if the framing is faulty"). Callers got it as a complete 200 on the platform front, and on the OpenAI front if a length came with it.

A length beside chunks in HTTP/1.1 stays as it is: the chunks hold and the length is dropped (RFC 9112, 6.3).

--- a/internal/base/roundtripper/connection.go
+++ b/internal/base/roundtripper/connection.go
@@ -2,7 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -56,3 +60,31 @@
 	})
 	return err == nil && usable
 }
+
+// version10 begins a response of HTTP/1.0.
+const version10 = "HTTP/1.0"
+
+// readResponse reads the head of a response.
+//
+// The standard library ignores chunked encoding in HTTP/1.0 and takes the sizes of the
+// chunks for a part of the body. No rule says where such a body ends (RFC 9112, 6.1), so
+// the response fails.
+func (c *connection) readResponse(method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	// If the bytes cannot be read, ReadResponse returns the error.
+	if begin, _ := c.r.Peek(len(version10)); string(begin) != version10 {
+		return http.ReadResponse(c.r, req)
+	}
+	_, _ = c.r.Discard(len(version10))
+	c.r = bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/1.1"), c.r))
+	resp, err := http.ReadResponse(c.r, req)
+	if err != nil {
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		return nil, errors.New("a response of HTTP/1.0 is in chunks")
+	}
+	// The connection is not used again, as usable does not see all of what was read.
+	resp.Close = true
+	return resp, nil
+}
--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -274,7 +274,7 @@
 // readHead reads the head of the final response; interim responses are skipped.
 func (x *exchange) readHead(method string) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: method})
+		resp, err := x.conn.readResponse(method)
 		if err != nil {
 			return nil, err
 		}
