roundtripper: a status line of another protocol is no response

The standard library takes any version that looks like HTTP/x.y and any bytes in the reason. A peer that answers in HTTP/2.0 or HTTP/0.9, or with NUL bytes in its status line, sends no response of the protocol that it was asked in; its bytes reached callers as a complete 200. Such a response now fails.

--- a/internal/base/roundtripper/connection.go
+++ b/internal/base/roundtripper/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,15 +62,31 @@
 	return err == nil && usable
 }
 
+// readResponse reads the head of a response.
+func (c *connection) readResponse(method string) (*http.Response, error) {
+	resp, err := c.readVersion(method)
+	if err != nil {
+		return nil, err
+	}
+	// The standard library accepts both, and each shows that the bytes are no response.
+	if resp.ProtoMajor != 1 || strings.ContainsFunc(resp.Status, isControl) {
+		return nil, fmt.Errorf("malformed status line %q %q", resp.Proto, resp.Status)
+	}
+	return resp, nil
+}
+
+// isControl reports whether a status line must not have a character (RFC 9112, 4).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // version10 begins a response of HTTP/1.0.
 const version10 = "HTTP/1.0"
 
-// readResponse reads the head of a response.
+// readVersion reads the head of a response by the rules of its version.
 //
 // The standard library ignores chunked encoding in HTTP/1.0 and takes the sizes of the
 // chunks for a part of the body. No rule says where such a body ends (RFC 9112, 6.1), so
 // the response fails.
-func (c *connection) readResponse(method string) (*http.Response, error) {
+func (c *connection) readVersion(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	// If the bytes cannot be read, ReadResponse returns the error.
 	if begin, _ := c.r.Peek(len(version10)); string(begin) != version10 {
