requester: a change whose response is no node's may have been accepted

The client of the operators' interface returned 903 (a node does not answer, try another node) for a change whose response was complete and could not be decoded, or was the error of a proxy, and success for a redirect or an object without a version. The change may have been accepted in all of them: the result is now 311, by which the operator lists the files before a repeat. A key created twice is the damage that this can do.

On the code before (requester, testdata/responses):

put 200 "oops" 903 unknown put 200 {} {Version:0 InForce:true} put 200 without a body 903 unknown put 502 "oops" 903 unknown key 200 "oops" 903 unknown release 502 "oops" 903 unknown release 302 success

A response cut after each of its bytes gave 311 before and does now, for a read 903.

--- a/internal/operator/requester/client.go
+++ b/internal/operator/requester/client.go
@@ -73,9 +73,10 @@
 func (c Client) CreateKey(ctx context.Context, account string) (Key, error) {
 	data, err := c.call(ctx, http.MethodPost, "/keys", nil, encodeAccount(account))
 	if err != nil {
-		return Key{}, err
+		return Key{}, changeError(err)
 	}
-	return decodeKey(data)
+	k, err := decodeKey(data)
+	return k, changeError(err)
 }
 
 // WithdrawKey withdraws a key by its identifier.
@@ -104,15 +105,25 @@
 // Release takes a prompt pattern out of force by its identifier.
 func (c Client) Release(ctx context.Context, id string) error {
 	_, err := c.call(ctx, http.MethodDelete, "/quarantine/"+url.PathEscape(id), nil, nil)
-	return err
+	return changeError(err)
 }
 
 func (c Client) change(ctx context.Context, method, path string, q url.Values, body []byte) (Change, error) {
 	data, err := c.call(ctx, method, path, q, body)
 	if err != nil {
-		return Change{}, err
+		return Change{}, changeError(err)
 	}
-	return decodeChange(data)
+	change, err := decodeChange(data)
+	return change, changeError(err)
+}
+
+// changeError returns the error of a change, which may have been accepted if the response
+// is not that of a node.
+func changeError(err error) error {
+	if coder.Is(err, coder.NodeNotReached) && coder.FromError(err).Outcome() != coder.NotRun {
+		return coder.Wrap(coder.ConfigOutcomeUnsure, err, "the change may have been accepted")
+	}
+	return err
 }
 
 func seenQuery(version uint64) url.Values {
@@ -159,7 +170,7 @@
 	if err != nil {
 		return nil, c.noResponseError(method, err)
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, decodeRefusal(resp.StatusCode, data)
 	}
 	return data, nil
--- a/internal/operator/requester/codec.go
+++ b/internal/operator/requester/codec.go
@@ -1,6 +1,7 @@
 package requester
 
 import (
+	"errors"
 	"strconv"
 
 	"github.com/go-faster/jx"
@@ -172,7 +173,7 @@
 
 func decodeChange(data []byte) (c Change, err error) {
 	err = decodeObject(jx.DecodeBytes(data), changeFields(&c))
-	return c, decodingError(err)
+	return c, changeDecodingError(c, err)
 }
 
 func encodeAccount(account string) []byte {
@@ -188,7 +189,7 @@
 	fields["id"], fields["client-account"] = stringDecoder(&k.ID), stringDecoder(&k.Account)
 	fields["file"], fields["secret"] = stringDecoder(&k.File), stringDecoder(&k.Secret)
 	err = decodeObject(jx.DecodeBytes(data), fields)
-	return k, decodingError(err)
+	return k, changeDecodingError(k.Change, err)
 }
 
 func decodeStatus(data []byte) (s Status, err error) {
@@ -270,6 +271,14 @@
 	return f
 }
 
+// changeDecodingError returns the error of decoding a change, which has a version.
+func changeDecodingError(c Change, err error) error {
+	if err == nil && c.Version == 0 {
+		err = errors.New("there is no version")
+	}
+	return decodingError(err)
+}
+
 func decodingError(err error) error {
 	if err == nil {
 		return nil
