requester: a response that ends with its connection is not taken for a file

A configuration file is returned as its raw bytes, so a part of one cannot be told from the whole by its content. A node sends its responses with a length or in chunks; one that ends with its connection comes from something between, and a connection that closes early gave the operator the beginning of a file, to be edited and put back. Such a response now counts as none: 903 for a read, 311 for a change.

--- a/internal/operator/requester/client.go
+++ b/internal/operator/requester/client.go
@@ -166,6 +166,10 @@
 		return nil, c.noResponseError(method, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		// A file that is cut off would look complete, and be put back so.
+		return nil, c.noResponseError(method, errors.New("the response ends with its connection"))
+	}
 	data, err := limiter.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, c.noResponseError(method, err)
