controller: only an order is refused for its fencing token

Status 409 on any path of an engine's control interface became StaleFencing, also for load reports and cancellations, which have no fencing token: their log lines named a lease that had been lost. It now counts on the path of orders only. No decision rested on the code of the others.

--- a/internal/engine/controller/client.go
+++ b/internal/engine/controller/client.go
@@ -24,6 +24,9 @@
 	maxResponseBytes = 1 << 20
 )
 
+// pathOrders is the path of orders; only they have a fencing token.
+const pathOrders = "/engine/orders"
+
 // WithTransport returns a copy that sends through t.
 func (c Client) WithTransport(t http.RoundTripper) Client {
 	c.Transport = t
@@ -53,7 +56,7 @@
 // StaleFencing: the engine has seen a newer fencing token. After any other error
 // the order may or may not have taken effect; State shows which.
 func (c Client) Order(ctx context.Context, address string, o Order) error {
-	_, err := c.send(ctx, http.MethodPost, address, "/engine/orders", EncodeOrder(o))
+	_, err := c.send(ctx, http.MethodPost, address, pathOrders, EncodeOrder(o))
 	return err
 }
 
@@ -92,7 +95,7 @@
 		return nil, coder.Wrap(coder.EndpointFailed, err, "the response of endpoint %s was cut off", address)
 	}
 	switch {
-	case resp.StatusCode == http.StatusConflict:
+	case resp.StatusCode == http.StatusConflict && path == pathOrders:
 		return nil, coder.Refuse(coder.StaleFencing, "endpoint %s refused a stale fencing token", address)
 	case resp.StatusCode >= http.StatusBadRequest:
 		return nil, coder.New(coder.EndpointFailed, "endpoint %s responded with status %d", address, resp.StatusCode)
