connector: a redirect is no acceptance of a call

The client of the platform's own interface follows no redirects and took a status below 400 for success: an order for endpoints or a usage report that was answered with a redirect counted as accepted, and its body as rows. Such a response now says nothing about the call: unsure for a change, unavailable for a read.

On the code before (connector, testdata/responses):

order status=302 accepted report status=302 accepted commit status=302 8 read status=302 {Rows:[] Version:7}

--- a/internal/platform/connector/client.go
+++ b/internal/platform/connector/client.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return nil, coder.Wrap(coder.PlatformUnsure, err, "the response of the platform was cut off")
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, encoder.DecodeFailure(data)
 	}
 	return data, nil
