encoder: an object without rows is no response of the platform

Changes now have a list of rows and the response to a transaction a version, or decoding fails.

On the code before (connector, testdata/responses):

read {} {Rows:[] Version:0} read {"version":7} {Rows:[] Version:7} watch {"error":"busy"} {Rows:[] Version:0} commit {} 0, no error

--- a/internal/platform/connector/client_test.go
+++ b/internal/platform/connector/client_test.go
@@ -32,7 +32,9 @@
 		"order": func(ctx context.Context, c connector.Client) (any, error) {
 			return "accepted", c.Order(ctx, supplier.EndpointOrder{})
 		},
-		"report": func(ctx context.Context, c connector.Client) (any, error) { return "accepted", c.Report(ctx, biller.Report{}) },
+		"report": func(ctx context.Context, c connector.Client) (any, error) {
+			return "accepted", c.Report(ctx, biller.Report{})
+		},
 	}
 	datadriven.RunTest(t, "testdata/responses", func(t *testing.T, d *datadriven.TestData) string {
 		status := http.StatusOK
--- a/internal/platform/encoder/table.go
+++ b/internal/platform/encoder/table.go
@@ -7,6 +7,7 @@
 package encoder
 
 import (
+	"errors"
 	"time"
 
 	"github.com/go-faster/jx"
@@ -154,6 +155,7 @@
 
 // DecodeChanges decodes changes.
 func DecodeChanges(data []byte) (c transactor.Changes, err error) {
+	listed := false
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "version":
@@ -163,12 +165,17 @@
 			ms, err = d.Int64()
 			c.StoreClock = time.Duration(ms) * time.Millisecond
 		case "rows":
+			listed = true
 			c.Rows, err = decodeRows(d)
 		default:
 			err = d.Skip()
 		}
 		return err
 	})
+	if err == nil && !listed {
+		// An object of another kind is no table without rows.
+		err = errors.New("there is no list of rows")
+	}
 	return c, malformed(err)
 }
 
@@ -220,6 +227,9 @@
 		version, err = d.UInt64()
 		return err
 	})
+	if err == nil && version == 0 {
+		err = errors.New("there is no version")
+	}
 	return version, malformed(err)
 }
 
