controller: a load report without counts is no report

A report of an engine or service that is cut does not decode, but an object of another kind decoded as the report of an idle endpoint, and a negative number as less than idle: such an endpoint draws the requests of all nodes. A report now counts the running requests at least, and none of its numbers is negative; otherwise it is failed, and the endpoint is judged by its last report.

On the code before (controller, testdata/status):

load {} ok, idle load {"error":"busy"} ok, idle load {"in-flight":-1,"queued":0} ok

--- a/internal/engine/controller/control.go
+++ b/internal/engine/controller/control.go
@@ -7,6 +7,7 @@
 package controller
 
 import (
+	"errors"
 	"net/url"
 	"strconv"
 
@@ -93,11 +94,13 @@
 	return e.Bytes()
 }
 
-// DecodeLoad decodes a load report.
+// DecodeLoad decodes a load report, which counts the running requests at least.
 func DecodeLoad(data []byte) (l Load, err error) {
+	counted := false
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "in-flight":
+			counted = true
 			l.InFlight, err = d.Int()
 		case "queued":
 			l.Queued, err = d.Int()
@@ -116,6 +119,9 @@
 		}
 		return err
 	})
+	if err == nil && (!counted || min(l.InFlight, l.Queued, l.Backlog, l.FreeBlocks) < 0) {
+		err = errors.New("the numbers of requests are missing or negative")
+	}
 	return l, wrapMalformed(err)
 }
 
