lab/relayer: a reset reaches the peer as a reset

The relay closed its connections in the regular way when a target or a link was reset, so a peer that reads a body up to the end of the connection took a broken response for a complete one. Nothing showed it so far: all stand-ins behind the relay frame their bodies by length or in chunks.

A failed read or write, a reset link and a relay that stops now reset both connections; only a target that has closed its side closes the other one.

TestResetIsNoEndOfStream, on the code before:

relay_test.go:50: not true: err != nil && err != io.EOF --- FAIL: TestResetIsNoEndOfStream/target (0.00s) --- FAIL: TestResetIsNoEndOfStream/link (0.00s)

It passes with -race, and TestScripts/relay too.

--- a/internal/lab/relayer/relay.go
+++ b/internal/lab/relayer/relay.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -136,8 +137,7 @@
 	var resetWatch, directions conc.WaitGroup
 	resetWatch.Go(func() {
 		p.waitForReset(ctx)
-		_ = source.Close()
-		_ = destination.Close()
+		abort(source, destination)
 	})
 	directions.Go(func() { p.forwardOneWay(ctx, source, destination) })
 	directions.Go(func() { p.forwardOneWay(ctx, destination, source) })
@@ -165,19 +165,40 @@
 	ctx, cancel := context.WithCancel(ctx)
 	queue := make(chan chunk, maxChunks)
 	var wg conc.WaitGroup
+	var readErr error
 	wg.Go(func() {
 		defer close(queue)
-		p.read(ctx, source, queue)
+		readErr = p.read(ctx, source, queue)
 	})
-	if p.write(ctx, destination, queue) != nil {
-		_ = source.Close()
-		_ = destination.Close()
+	err := p.write(ctx, destination, queue)
+	if err == nil {
+		// The queue is closed, so readErr is set.
+		err = readErr
+	}
+	if err == nil {
+		err = p.closeWrite(ctx, destination)
+	}
+	if err != nil {
+		abort(source, destination)
 	}
 	cancel()
 	wg.Wait()
 }
 
-func (p path) read(ctx context.Context, source net.Conn, queue chan<- chunk) {
+// abort resets connections: a peer that reads up to the end of its connection must not
+// take a failure for that end.
+func abort(conns ...net.Conn) {
+	for _, c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// read reads chunks until the source has closed its side; it fails if the connection
+// ends in another way.
+func (p path) read(ctx context.Context, source net.Conn, queue chan<- chunk) error {
 	for {
 		buf := make([]byte, chunkSize)
 		n, err := source.Read(buf)
@@ -185,18 +206,20 @@
 		if n > 0 {
 			select {
 			case <-ctx.Done():
-				return
+				return ctx.Err()
 			case queue <- chunk{data: buf[:n], due: p.relay.Clock.Now().Add(delay)}:
 			}
 		}
-		if err != nil {
-			return
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
 		}
 	}
 }
 
-// write writes chunks until the stream ends, and then closes the destination for
-// writing.
+// write writes chunks until the queue is closed.
 func (p path) write(ctx context.Context, destination net.Conn, queue <-chan chunk) error {
 	for c := range queue {
 		if wait := c.due.Sub(p.relay.Clock.Now()); wait > 0 {
@@ -211,6 +234,11 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// closeWrite closes the destination for writing.
+func (p path) closeWrite(ctx context.Context, destination net.Conn) error {
 	if err := p.waitWhileCut(ctx); err != nil {
 		return err
 	}
