explainer: a failed attempt is logged with the prompt part of its request

The line of a failed attempt names only the parts of a prompt that other requests may share, so the logs cannot tell whether the requests under which engines ended were one prompt that was sent again or several prompts with a part in common. Nor does a line say which response cleared a suspected part.

The line has own-part, the last part of the prompt, and explain prints it. A response that clears suspected parts is logged with the request.

--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -54,6 +54,7 @@
 	FieldListSource      = "list-source"
 	FieldBegun           = "begun"
 	FieldParts           = "parts"
+	FieldOwnPart         = "own-part"
 )
 
 // The kinds of decision.
@@ -158,7 +159,9 @@
 	Begun bool
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []string
-	Err   error
+	// OwnPart is the part that belongs to the request or its session, if it is named.
+	OwnPart string
+	Err     error
 }
 
 // maxLoggedParts bounds the prompt parts in the line of an attempt.
@@ -172,6 +175,9 @@
 	if len(a.Parts) > 0 {
 		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts[:min(len(a.Parts), maxLoggedParts)])
 	}
+	if a.OwnPart != "" {
+		line = line.Str(FieldOwnPart, a.OwnPart)
+	}
 	withCause(line, f).Msg("attempt failed")
 }
 
--- a/internal/decision/explainer/explainer_test.go
+++ b/internal/decision/explainer/explainer_test.go
@@ -33,7 +33,7 @@
 	}, explainer.ListState{Version: 42, Age: 700 * time.Millisecond, Source: "10.0.0.2:70"})
 	explainer.LogPrefillFailure(log, "req-3", "engine-2", coder.New(coder.ConnectionLost, "connection reset"))
 	explainer.LogAttempt(log, explainer.FailedAttempt{
-		Request: "req-3", Endpoint: "engine-1", Attempt: 1, Parts: []string{"5c1e07a2", "91bd3f06"},
+		Request: "req-3", Endpoint: "engine-1", Attempt: 1, Parts: []string{"5c1e07a2", "91bd3f06"}, OwnPart: "e4402b7d",
 		Err: coder.Wrap(coder.EndpointFailed, errors.New("EOF"), "response truncated"),
 	})
 	explainer.LogEnd(log, explainer.RequestEnd{
--- a/internal/decision/explainer/reader.go
+++ b/internal/decision/explainer/reader.go
@@ -45,6 +45,8 @@
 	// response to it had begun.
 	Parts []string
 	Begun bool
+	// OwnPart is the last part of that prompt.
+	OwnPart string
 	// OtherFigures are the figures of the other fields.
 	OtherFigures []string
 }
@@ -163,7 +165,11 @@
 	if l.Begun {
 		state = "begun"
 	}
-	_, _ = fmt.Fprintf(b, "  response %s, prompt parts %s\n", state, strings.Join(l.Parts, ", "))
+	_, _ = fmt.Fprintf(b, "  response %s, prompt parts %s", state, strings.Join(l.Parts, ", "))
+	if l.OwnPart != "" {
+		_, _ = fmt.Fprintf(b, ", own part %s", l.OwnPart)
+	}
+	b.WriteString("\n")
 }
 
 // causeText returns the cause of a failure, or "".
@@ -190,6 +196,7 @@
 		FieldReason: &l.Reason, FieldRetryAfter: &l.RetryAfter, FieldPrefillEngine: &l.PrefillEngine, FieldPrefillReason: &l.PrefillReason, FieldFetchFrom: &l.FetchFrom,
 		FieldListSource: &l.ListSource,
 		FieldEndpoint:   &l.Endpoint, FieldOutcome: &l.Outcome, FieldCause: &l.Cause, FieldRoute: &l.Route,
+		FieldOwnPart: &l.OwnPart,
 	}
 	numbers := map[string]*int{FieldCode: &l.Code, FieldStatus: &l.Status}
 	err := jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -144,6 +144,15 @@
 	return shared
 }
 
+// OwnPart returns the name of the last prompt part, which belongs to the request itself
+// or to its session; "" if the caller names no parts.
+func (r Request) OwnPart() string {
+	if len(r.PromptParts) == 0 {
+		return ""
+	}
+	return r.PromptParts[len(r.PromptParts)-1].Name
+}
+
 // textParts returns the hashes of the prefixes of a prompt and of the whole prompt.
 func textParts(prompt []byte) []string {
 	parts := make([]string, 0, indexer.MaxBlocks+1)
--- a/internal/request/carrier/example_test.go
+++ b/internal/request/carrier/example_test.go
@@ -9,10 +9,10 @@
 
 func ExampleRequest_SharedParts() {
 	named := carrier.Request{PromptParts: []indexer.Segment{{Name: "5c1e07a2"}, {Name: "91bd3f06"}, {Name: "e4402b7d"}}}
-	fmt.Println(named.SharedParts())
+	fmt.Println(named.SharedParts(), named.OwnPart())
 	text := carrier.Request{Prompt: make([]byte, 1200)}
 	fmt.Println(len(text.SharedParts()), "hashes: two prefixes and the whole prompt")
 	// Output:
-	// [5c1e07a2 91bd3f06]
+	// [5c1e07a2 91bd3f06] e4402b7d
 	// 3 hashes: two prefixes and the whole prompt
 }
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -233,7 +233,7 @@
 	if err := rep.Attempt.Err(); err != nil {
 		c.freshConnection = c.freshConnection || coder.Is(err, coder.ConnectionLost)
 		explainer.LogAttempt(d.Log, explainer.FailedAttempt{
-			Request: c.job.request.ID, Endpoint: e.ID, Attempt: c.attempts, Begun: begun, Parts: c.job.request.SharedParts(), Err: err,
+			Request: c.job.request.ID, Endpoint: e.ID, Attempt: c.attempts, Begun: begun, Parts: c.job.request.SharedParts(), OwnPart: c.job.request.OwnPart(), Err: err,
 		})
 	}
 }
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -253,6 +253,11 @@
 	if len(v.patterns) == 0 && q.evidence.Get().Empty() {
 		return
 	}
+	for _, part := range parts {
+		if s := v.suspects[part]; s.Crashes > 0 {
+			q.Log.Info().Str("request", r.ID).Str("part", part).Int("crashes", s.Crashes).Msg("suspected prompt part was answered")
+		}
+	}
 	q.change(func(e attributor.Evidence) attributor.Evidence { return e.WithAnswered(parts) })
 	for key, p := range v.patterns {
 		if p.Matches(parts) {
