attributor: a pattern that is too narrow is widened by two more crashes

Crashes that a pattern explains were no evidence against anything else. Once the parts of a request that belong to it alone are compared, too, one request that is sent again can be blamed as a whole, and a part of its prompt that does the harm would need three more crashes under other requests.

The crashes that a pattern explains now count against its own parts, and only those, once two crashes that no pattern explains have the part, too. A part of a blamed request that is at one other crash stays a suspect.

--- a/internal/decision/attributor/assess.go
+++ b/internal/decision/attributor/assess.go
@@ -109,14 +109,17 @@
 	// common are the parts that are suspects of all of them.
 	common  []string
 	settles time.Time
+	// explained means that a pattern explains it. Then only the parts of that are
+	// common.
+	explained bool
 }
 
 // Assess returns what the evidence says. Crashes that a known pattern explains are no
 // evidence against anything else.
 func (e Evidence) Assess(now time.Time, known []Pattern) Assessment {
 	groups := e.groups()
-	for _, p := range known {
-		groups = without(groups, p)
+	for _, p := range slices.SortedFunc(slices.Values(known), slices.Compare) {
+		groups = explain(groups, p)
 	}
 	var a Assessment
 	for {
@@ -125,10 +128,13 @@
 			break
 		}
 		a.Findings = append(a.Findings, f)
-		groups = without(groups, f.Pattern)
+		groups = explain(groups, f.Pattern)
 	}
 	a.Suspects = make(map[string]Suspicion)
 	for _, g := range groups {
+		if g.explained {
+			continue
+		}
 		for _, p := range g.common {
 			a.Suspects[p] = a.Suspects[p].with(p, g)
 		}
@@ -138,7 +144,7 @@
 	}
 	for _, g := range groups {
 		for _, p := range g.common {
-			if s := a.Suspects[p]; s.blamed() && g.settles.After(s.HoldUntil) {
+			if s := a.Suspects[p]; !g.explained && s.blamed() && g.settles.After(s.HoldUntil) {
 				s.HoldUntil = g.settles
 				a.Suspects[p] = s
 			}
@@ -178,23 +184,28 @@
 	return both
 }
 
-// without returns the groups that a pattern does not explain.
-func without(groups []group, p Pattern) []group {
-	var rest []group
-	for _, g := range groups {
-		if !p.Matches(g.common) {
-			rest = append(rest, g)
+// explain returns the groups after those that a pattern explains are marked.
+func explain(groups []group, p Pattern) []group {
+	after := slices.Clone(groups)
+	for i, g := range after {
+		if p.Matches(g.common) {
+			after[i].common, after[i].explained = p, true
 		}
 	}
-	return rest
+	return after
 }
 
 // strongest returns the parts that are blamed for the most settled groups. Parts that
 // were there each time together cannot be told apart, and only prompts with all of them
 // are known to crash endpoints. A part that was answered before is blamed only if no
 // other one is.
+//
+// Groups that a pattern explains count as well, against its parts only, once minTimes
+// groups that none explains have the part, too: then the pattern was too narrow, as if
+// one request, sent again, was blamed for what a part of its prompt does.
 func strongest(groups []group, now time.Time) (f Finding, ok bool) {
 	members := make(map[string][]int)
+	unexplained := make(map[string]int)
 	suspicions := make(map[string]Suspicion)
 	for i, g := range groups {
 		if now.Before(g.settles) {
@@ -202,12 +213,15 @@
 		}
 		for _, p := range g.common {
 			members[p] = append(members[p], i)
+			if !g.explained {
+				unexplained[p]++
+			}
 			suspicions[p] = suspicions[p].with(p, g)
 		}
 	}
 	best := ""
 	for p, s := range suspicions {
-		if s.blamed() && (best == "" || stronger(s, suspicions[best], members[p], members[best])) {
+		if unexplained[p] >= minTimes && s.blamed() && (best == "" || stronger(s, suspicions[best], members[p], members[best])) {
 			best = p
 		}
 	}
