quarantiner: a prompt that is sent again is recognized by its own part

A request that crashes its endpoint is sent again by its callers, each time with a new identifier. Crashes were compared by the parts of a prompt that other requests may share, all but the last one. Sound requests have the first part, too: it was answered before, so eight crashes were needed, and each sound response cleared it, so that the count began at 0 again.

The last part of a prompt counts like the others. Where all parts were there each time, only requests with all of them are refused. The limits of parts kept and told are doubled, as each request has one or two more.

On the code before, TestScripts/repeated: 'sent' instead of 'sent, suspected' after the first crash; TestNodes/crashing-request: expected 'map[400:6], 0 with the deadly part reached an engine', found 'map[502:6], 6 with the deadly part reached an engine'.

--- a/internal/decision/attributor/crash.go
+++ b/internal/decision/attributor/crash.go
@@ -34,8 +34,9 @@
 
 const (
 	// maxSuspects bounds the parts of one crash: engines process up to some hundred
-	// requests at once, and a prompt has two or three shared parts.
-	maxSuspects = 512
+	// requests at once, and a request has two or three parts that others share and two
+	// of its own.
+	maxSuspects = 1024
 	// endTolerance is the difference from which on an earlier time of the end replaces
 	// a later one. Times pass between nodes as ages, which only grow on their way.
 	endTolerance = 20 * time.Millisecond
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -153,6 +153,17 @@
 	return r.PromptParts[len(r.PromptParts)-1].Name
 }
 
+// CrashParts returns the names of what a request has in common with others under which
+// an endpoint may crash, too: the parts of its prompt, and its own part, as the same
+// prompt may be sent again.
+func (r Request) CrashParts() []string {
+	parts := r.SharedParts()
+	if own := r.OwnPart(); own != "" {
+		parts = append(parts, own)
+	}
+	return parts
+}
+
 // textParts returns the hashes of the prefixes of a prompt and of the whole prompt.
 func textParts(prompt []byte) []string {
 	parts := make([]string, 0, indexer.MaxBlocks+1)
--- a/internal/request/carrier/example_test.go
+++ b/internal/request/carrier/example_test.go
@@ -7,6 +7,12 @@
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
+func ExampleRequest_CrashParts() {
+	named := carrier.Request{PromptParts: []indexer.Segment{{Name: "5c1e07a2"}, {Name: "e4402b7d"}}}
+	fmt.Println(named.CrashParts())
+	// Output: [5c1e07a2 e4402b7d]
+}
+
 func ExampleRequest_SharedParts() {
 	named := carrier.Request{PromptParts: []indexer.Segment{{Name: "5c1e07a2"}, {Name: "91bd3f06"}, {Name: "e4402b7d"}}}
 	fmt.Println(named.SharedParts(), named.OwnPart())
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -117,7 +117,7 @@
 	if len(v.patterns) == 0 && len(v.suspects) == 0 {
 		return nil
 	}
-	parts := r.SharedParts()
+	parts := r.CrashParts()
 	for key, p := range v.patterns {
 		if p.Matches(parts) {
 			refusalCount.Add(1)
@@ -153,7 +153,7 @@
 		return nil
 	}
 	var out []string
-	for _, part := range r.SharedParts() {
+	for _, part := range r.CrashParts() {
 		if v.suspects[part].LikelyHarmful() {
 			out = append(out, part)
 		}
@@ -183,7 +183,7 @@
 	// Read before the view, as a crash goes from the one to the other.
 	unconfirmed := q.unconfirmed.Values()
 	v := q.view.Get()
-	for _, part := range r.SharedParts() {
+	for _, part := range r.CrashParts() {
 		s := v.suspects[part]
 		if s.Known && !s.LikelyHarmful() {
 			continue
@@ -204,7 +204,7 @@
 // RecordBroken records that the connection of a request broke before the endpoint had
 // begun to respond. Whether the endpoint has crashed is then found out.
 func (q *Quarantine) RecordBroken(endpoint string, r carrier.Request) {
-	parts := r.SharedParts()
+	parts := r.CrashParts()
 	if len(parts) == 0 || q.leaving(endpoint) {
 		return
 	}
@@ -244,7 +244,7 @@
 // RecordAnswered records that a request was answered completely, so that no part of
 // its prompt crashes endpoints.
 func (q *Quarantine) RecordAnswered(r carrier.Request) {
-	parts := r.SharedParts()
+	parts := r.CrashParts()
 	if len(parts) == 0 {
 		return
 	}
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -48,6 +48,7 @@
 	quarantine *quarantiner.Quarantine
 	store      *store
 	stores     bool
+	requests   int
 
 	mu sync.Mutex
 	// endpoints has the states of endpoints: up, refusing, silent or leaving.
@@ -105,7 +106,7 @@
 			endpoint = a.Key
 		}
 	}
-	r := request(d)
+	r := h.request(t, d)
 	switch d.Cmd {
 	case "start":
 		h.start()
@@ -156,11 +157,15 @@
 	return ""
 }
 
-// request returns a request with the given parts and one of its own.
-func request(d *datadriven.TestData) (r carrier.Request) {
+// request returns a request with the given parts and one of its own, a new one if none is
+// given.
+func (h *harness) request(t *testing.T, d *datadriven.TestData) (r carrier.Request) {
+	h.requests++
+	own := fmt.Sprint("own", h.requests)
+	d.MaybeScanArgs(t, "own", &own)
 	for _, a := range d.CmdArgs {
 		if a.Key == "parts" {
-			for _, name := range append(a.Vals, "own") {
+			for _, name := range append(a.Vals, own) {
 				r.PromptParts = append(r.PromptParts, indexer.Segment{Name: name})
 			}
 		}
--- a/internal/request/quarantiner/recent.go
+++ b/internal/request/quarantiner/recent.go
@@ -3,8 +3,8 @@
 import "sync"
 
 // maxRecent bounds the parts of one generation: those of a minute and more, at 30
-// requests a second.
-const maxRecent = 4096
+// requests a second with two or three new parts each.
+const maxRecent = 8192
 
 // recentParts are the prompt parts that were answered last, in two generations: when the
 // younger one is full, the older one is dropped.
