quarantiner: a request without named parts counts as what it asks for

A hash of what a request asks for (host, method, target, prompt parts and body) is one more of its parts. Its caller's next attempt has the same one under another identifier, also where all parts of its prompt were answered before. Where it was there each time, no other request is refused.

TestScripts/repeated on the code before: check path=/book/7 is 'sent' after two crashes and after three; now 'sent, suspected, not repeated', then 'refused', and path=/book/8 is sent.

--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -154,16 +154,33 @@
 }
 
 // CrashParts returns the names of what a request has in common with others under which
-// an endpoint may crash, too: the parts of its prompt, and its own part, as the same
-// prompt may be sent again.
+// an endpoint may crash, too: the parts of its prompt, and the request as such, whatever
+// its identifier, by a hash.
 func (r Request) CrashParts() []string {
 	parts := r.SharedParts()
 	if own := r.OwnPart(); own != "" {
 		parts = append(parts, own)
 	}
+	if r.Body.Repeatable() {
+		parts = append(parts, r.contentHash())
+	}
 	return parts
 }
 
+// contentHash returns the hash by which a request is found again when its caller repeats
+// it.
+func (r Request) contentHash() string {
+	h := xxhash.New()
+	for _, text := range []string{r.Host, r.Method, r.Target} {
+		_, _ = h.WriteString(text + "\n")
+	}
+	for _, part := range r.PromptParts {
+		_, _ = h.WriteString(part.Name + ",")
+	}
+	_, _ = h.Write(r.Body.Bytes)
+	return "request-" + strconv.FormatUint(h.Sum64(), 16)
+}
+
 // textParts returns the hashes of the prefixes of a prompt and of the whole prompt.
 func textParts(prompt []byte) []string {
 	parts := make([]string, 0, indexer.MaxBlocks+1)
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -158,11 +158,13 @@
 }
 
 // request returns a request with the given parts and one of its own, a new one if none is
-// given.
+// given, or one without a prompt for the given path.
 func (h *harness) request(t *testing.T, d *datadriven.TestData) (r carrier.Request) {
 	h.requests++
 	own := fmt.Sprint("own", h.requests)
 	d.MaybeScanArgs(t, "own", &own)
+	r.Target = own
+	d.MaybeScanArgs(t, "path", &r.Target)
 	for _, a := range d.CmdArgs {
 		if a.Key == "parts" {
 			for _, name := range append(a.Vals, own) {
