--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -56,6 +56,7 @@
 	FieldParts           = "parts"
 	FieldReused          = "reused-connection"
 	FieldEvents          = "events"
+	FieldOwnPart         = "own-part"
 )
 
 // The kinds of decision.
@@ -160,7 +161,9 @@
 	Begun bool
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []string
-	Err   error
+	// OwnPart is the part that belongs to the request or its session, if it is named.
+	OwnPart string
+	Err     error
 	// HeadReceived means that the head of a response was received, ConnectionReused that
 	// the connection of this response had carried a request before.
 	HeadReceived     bool
@@ -184,6 +187,9 @@
 	if len(a.Parts) > 0 {
 		line = line.Bool(FieldBegun, a.Begun).Strs(FieldParts, a.Parts[:min(len(a.Parts), maxLoggedParts)])
 	}
+	if a.OwnPart != "" {
+		line = line.Str(FieldOwnPart, a.OwnPart)
+	}
 	withCause(line, f).Msg("attempt failed")
 }
 
