excluder: an endpoint that says in a response that it leaves gets no more requests

Cause: an endpoint that leaves says so in the header Server-Leaving of all its responses. The header was read by nobody and passed on to callers, so a node went on sending requests for as long as the store listed the endpoint as ready.

Change: a node marks the start of the endpoint to which the request was sent, at the head of the response and before it is passed on. The choice leaves marked endpoints out. The transport asks its gate after a connection is open, just before the first byte, no longer before connecting; what the gate holds back was not sent (code 510), takes nothing from a budget and goes elsewhere without a delay. A connection on which nothing was sent keeps its idle timeout.

Result: platform/testdata/nodes/leaving on the code before:

testdata/nodes/leaving:27: ask n1 count=40 who expected: 200: 40 run by [w2] found: 200: 40 run by [w1 w2]

and now run by [w2], also after the entry was written again and after it was removed and came back, until the endpoint starts again. With the gate asked before connecting, base/roundtripper/testdata/gate sends the request. Ruled out: the mark of the list in the same field, as each list overwrites it.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -64,6 +64,7 @@
 	EndpointReplaced    Code = 507
 	AnswerLate          Code = 508
 	EndpointLimited     Code = 509
+	EndpointLeaving     Code = 510
 
 	PlatformUnavailable Code = 601
 	PlatformConflict    Code = 602
--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -35,6 +35,9 @@
 
 // Options bound one exchange.
 type Options struct {
+	// Endpoint and Control describe the destination for the gate.
+	Endpoint string
+	Control  bool
 	// MaxConnections is the maximum number of connections to the address; 0 means no
 	// bound.
 	MaxConnections int
@@ -84,11 +87,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if t.Gate != nil {
-		if err := t.Gate.Admit(address); err != nil {
-			return nil, err
-		}
-	}
 	if o.NewConnection {
 		t.CloseIdle(address)
 	}
@@ -100,11 +98,10 @@
 		t.closeConnection(c)
 		return nil, coder.Wrap(coder.EndpointUnreachable, ctx.Err(), "request to %s was not sent", address).WithOutcome(coder.NotRun)
 	}
-	if o.Guard != nil {
-		if err := o.Guard(); err != nil {
-			t.putIdle(c, t.IdleTimeout)
-			return nil, err
-		}
+	d := Destination{Address: address, Endpoint: o.Endpoint, Control: o.Control}
+	if err := t.admit(d, o); err != nil {
+		t.putUnused(c)
+		return nil, err
 	}
 	if o.OnSend != nil {
 		o.OnSend()
@@ -120,11 +117,25 @@
 		return nil, sendError(ctx, address, c.reused, err)
 	}
 	if t.Gate != nil {
-		t.Gate.RecordResponse(address, sentAt, resp.Status, resp.Header)
+		t.Gate.RecordResponse(d, sentAt, resp.Status, resp.Header)
 	}
 	return resp, nil
 }
 
+// admit fails if the request must not be sent. The gate comes last, as it counts what it
+// admits.
+func (t *Transport) admit(d Destination, o Options) error {
+	if o.Guard != nil {
+		if err := o.Guard(); err != nil {
+			return err
+		}
+	}
+	if t.Gate != nil {
+		return t.Gate.Admit(d)
+	}
+	return nil
+}
+
 // sendError returns the error of an exchange that failed after a byte may have been
 // sent.
 //
--- a/internal/base/roundtripper/transport.go
+++ b/internal/base/roundtripper/transport.go
@@ -22,12 +22,43 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Gate bounds the requests to an address by what its responses say.
+// Destination is what a request is sent to.
+type Destination struct {
+	Address string
+	// Endpoint identifies the start of the endpoint that is meant; empty means that it is
+	// not known.
+	Endpoint string
+	// Control means that the request is none of a caller.
+	Control bool
+}
+
+// Gate bounds the requests to a destination by what its responses say.
 type Gate interface {
-	// Admit fails if no request may be sent to an address now.
-	Admit(address string) error
+	// Admit fails if no request may be sent now. It is called just before sending, and
+	// what it admits is sent.
+	Admit(d Destination) error
 	// RecordResponse takes the head of a response to a request that was sent at a time.
-	RecordResponse(address string, sentAt time.Time, status int, h http.Header)
+	RecordResponse(d Destination, sentAt time.Time, status int, h http.Header)
+}
+
+// Gates admits what each of several gates admits, asked in order.
+type Gates []Gate
+
+// Admit returns the error of the first gate that does not admit the request.
+func (g Gates) Admit(d Destination) error {
+	for _, gate := range g {
+		if err := gate.Admit(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RecordResponse passes the head of a response to all gates.
+func (g Gates) RecordResponse(d Destination, sentAt time.Time, status int, h http.Header) {
+	for _, gate := range g {
+		gate.RecordResponse(d, sentAt, status, h)
+	}
 }
 
 // Transport sends requests over pooled connections.
@@ -159,6 +190,15 @@
 	p.idle = append(p.idle, c)
 }
 
+// putUnused returns a connection to the pool on which nothing was sent.
+func (t *Transport) putUnused(c *connection) {
+	left := t.IdleTimeout
+	if !c.expires.IsZero() {
+		left = c.expires.Sub(t.Clock.Now())
+	}
+	t.putIdle(c, left)
+}
+
 // CloseExpired closes the idle connections that have expired; a periodic task runs
 // it.
 func (t *Transport) CloseExpired(context.Context) error {
--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -34,7 +34,7 @@
 		defer s.close()
 		clock := timekeeper.NewFake(time.Unix(1000, 0))
 		f := &fixture{server: s, clock: clock}
-		f.transport = &roundtripper.Transport{Clock: clock, Dial: f.dial, IdleTimeout: 4 * time.Second}
+		f.transport = &roundtripper.Transport{Clock: clock, Dial: f.dial, IdleTimeout: 4 * time.Second, Gate: &f.gate}
 		datadriven.RunTest(t, path, f.runCommand)
 	})
 }
@@ -46,13 +46,32 @@
 	unread    []*roundtripper.Response
 	// received is the number of bytes that were read from the server.
 	received atomic.Int64
+	// gate admits what was not connected after it closed.
+	gate closingGate
 	// step is the number of the command. Each request carries the number of its
 	// command, as an interrupted request may arrive while the next command runs.
 	step int
 }
 
+// closingGate is a gate that may close while a connection is opened.
+type closingGate struct{ closesOnDial, closed bool }
+
+// Admit fails while the gate is closed.
+func (g *closingGate) Admit(roundtripper.Destination) error {
+	if g.closed {
+		return coder.Refuse(coder.EndpointLeaving, "the gate is closed")
+	}
+	return nil
+}
+
+// RecordResponse does nothing.
+func (*closingGate) RecordResponse(roundtripper.Destination, time.Time, int, http.Header) {}
+
 // dial opens a connection that counts the bytes read from it.
 func (f *fixture) dial(ctx context.Context, address string) (net.Conn, error) {
+	if f.gate.closesOnDial {
+		f.gate.closed = true
+	}
 	c, err := roundtripper.Dialer{Timeout: time.Second, PeerTimeout: time.Second}.Dial(ctx, address)
 	return countingConn{Conn: c, received: &f.received}, err
 }
@@ -134,6 +153,10 @@
 			o.MaxConnections = 1
 		case "fresh":
 			o.NewConnection = true
+		case "gate-closes":
+			// What the endpoint says is heard while a connection is opened.
+			f.gate.closesOnDial = true
+			defer func() { f.gate.closesOnDial, f.gate.closed = false, false }()
 		case "guarded":
 			o.Guard = func() error { return coder.Refuse(coder.LeaseNotHeld, "the lease has expired") }
 		case "long":
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -77,6 +77,9 @@
 	// Leaving is set if the platform's list marks the VM as leaving, or no longer
 	// contains it.
 	Leaving bool
+	// Announced is set if the endpoint itself has said in a response that it leaves. It
+	// holds whatever the list or a report says later.
+	Announced bool
 	// Draining is set if the placement has ordered a drain.
 	Draining bool
 	// Unconfirmed is set if neither the list nor a report is recent.
@@ -231,6 +234,15 @@
 	return e
 }
 
+// WithAnnounced returns a copy that has said itself whether it leaves.
+func (e Endpoint) WithAnnounced(announced bool) Endpoint {
+	e.Announced = announced
+	return e
+}
+
+// IsLeaving reports whether the endpoint leaves by any source.
+func (e Endpoint) IsLeaving() bool { return e.Leaving || e.Announced || e.Report.Leaving }
+
 // WithDraining returns a copy that is draining or not.
 func (e Endpoint) WithDraining(draining bool) Endpoint {
 	e.Draining = draining
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -72,7 +72,7 @@
 // UnavailableReason returns why an endpoint takes no new work of any phase, or "".
 func UnavailableReason(e Endpoint) Reason {
 	switch {
-	case e.Leaving || e.Report.Leaving:
+	case e.IsLeaving():
 		return ReasonLeaving
 	case e.Draining:
 		return ReasonDraining
--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -177,7 +177,7 @@
 	for _, e := range engines {
 		target := st.targets[e.Endpoint.ID]
 		ep := e.Endpoint
-		unavailable := target != "" || ep.Draining || ep.Leaving || ep.Report.Leaving || ep.Ejected() || e.State.Phase != phaseServing
+		unavailable := target != "" || ep.Draining || ep.IsLeaving() || ep.Ejected() || e.State.Phase != phaseServing
 		s.Backlog.Prefill += float64(ep.Report.Backlog)
 		s.Engines = append(s.Engines, balancer.Engine{
 			ID:          ep.ID,
@@ -254,7 +254,7 @@
 			ID:         e.ID,
 			DataCentre: e.DataCentre,
 			Tier:       e.Tier,
-			Leaving:    e.Leaving || e.Report.Leaving,
+			Leaving:    e.IsLeaving(),
 			InFlight:   e.Report.InFlight,
 		})
 	}
@@ -285,7 +285,7 @@
 func (st deploymentState) withSpot(endpoints []picker.Endpoint, now time.Time) deploymentState {
 	var spot []picker.Endpoint
 	for _, e := range endpoints {
-		if e.Tier == definer.Spot && !e.Leaving && !e.Report.Leaving {
+		if e.Tier == definer.Spot && !e.IsLeaving() {
 			spot = append(spot, e)
 		}
 	}
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -275,6 +275,11 @@
 	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) { return e.WithLimit(limited, pausedUntil), ok })
 }
 
+// SetAnnounced records that an endpoint has said itself that it leaves.
+func (o *Observer) SetAnnounced(id string) {
+	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithAnnounced(true) })
+}
+
 // IDAt returns the identifier of the endpoint with an address.
 func (o *Observer) IDAt(address string) (id string, ok bool) {
 	o.Table.Each(func(_ string, e picker.Endpoint) bool {
--- a/internal/fleet/observer/observer_test.go
+++ b/internal/fleet/observer/observer_test.go
@@ -102,6 +102,8 @@
 					o.RecordSent(name, 100)
 					o.RecordDone(name, 100, picker.ResultFailed, rule)
 				}
+			case "announce":
+				o.SetAnnounced(name)
 			case "probe":
 				return fmt.Sprintln(o.ReserveProbe(name), o.ReserveProbe(name))
 			default:
--- a/internal/fleet/orderer/policy.go
+++ b/internal/fleet/orderer/policy.go
@@ -68,7 +68,7 @@
 func stayingEndpoints(endpoints []picker.Endpoint, dataCentre string, tier definer.Tier) []picker.Endpoint {
 	var found []picker.Endpoint
 	for _, e := range endpoints {
-		if e.DataCentre == dataCentre && e.Tier == tier && !e.Leaving && !e.Report.Leaving {
+		if e.DataCentre == dataCentre && e.Tier == tier && !e.IsLeaving() {
 			found = append(found, e)
 		}
 	}
--- a/internal/fleet/pacer/pacer.go
+++ b/internal/fleet/pacer/pacer.go
@@ -49,7 +49,8 @@
 )
 
 // Admit fails if no request may be sent to an address now.
-func (p *Pacer) Admit(address string) error {
+func (p *Pacer) Admit(d roundtripper.Destination) error {
+	address := d.Address
 	l, ok := p.limits.Get(address)
 	if !ok || !l.statement.Limited {
 		return nil
@@ -94,7 +95,8 @@
 }
 
 // RecordResponse takes what a response says to a request that was sent at a time.
-func (p *Pacer) RecordResponse(address string, askedAt time.Time, status int, h http.Header) {
+func (p *Pacer) RecordResponse(d roundtripper.Destination, askedAt time.Time, status int, h http.Header) {
+	address := d.Address
 	s, ok := p.Decode(status, h)
 	if !ok {
 		return
--- a/internal/fleet/pacer/pacer_test.go
+++ b/internal/fleet/pacer/pacer_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
 )
@@ -92,7 +93,7 @@
 		if limit >= 0 {
 			header.Set("Limit", fmt.Sprint(limit))
 		}
-		h.pacer.RecordResponse("a1", sentAt, http.StatusOK, header)
+		h.pacer.RecordResponse(roundtripper.Destination{Address: "a1"}, sentAt, http.StatusOK, header)
 	case "hearsay":
 		h.pacer.RecordHearsay("a1", "e@"+h.start, pacer.Statement{Limited: limit >= 0, PerSecond: max(limit, 0)}, time.Duration(ms)*time.Millisecond)
 	case "forget":
@@ -119,7 +120,7 @@
 func (h *harness) send(count int) string {
 	admitted := 0
 	for range count {
-		if h.pacer.Admit("a1") == nil {
+		if h.pacer.Admit(roundtripper.Destination{Address: "a1"}) == nil {
 			admitted++
 		}
 	}
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -20,12 +20,14 @@
 	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/indexer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/fleet/excluder"
 	"foxtailflow.example/foxtailflow/internal/fleet/lister"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
@@ -52,6 +54,7 @@
 	observer     *observer.Observer
 	index        *indexer.Index
 	pacer        *pacer.Pacer
+	excluder     *excluder.Excluder
 	quarantine   *quarantiner.Quarantine
 	harmful      *follower.Follower
 	dispatcher   *dispatcher.Dispatcher
@@ -139,7 +142,7 @@
 		Table: keeper.Table[string, picker.Endpoint]{Rank: keeper.RankEndpoints},
 	}
 	n.index = &indexer.Index{}
-	n.buildPacer()
+	n.buildGates()
 	n.observer.OnRemove = func(id string) { n.index.Forget(id); n.pacer.Forget(id) }
 	n.buildQuarantine()
 	n.buildMembers()
@@ -262,14 +265,34 @@
 	return joined && n.harmful.Snapshot().Loaded()
 }
 
-// buildPacer builds what keeps requests to endpoints within the limits that these name.
-func (n *Node) buildPacer() {
+// buildGates builds what holds back requests to endpoints by what these say: of their
+// limits, and that they leave.
+func (n *Node) buildGates() {
 	n.pacer = &pacer.Pacer{
 		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
 		EndpointAt: n.observer.IDAt, OnLimit: n.observer.SetLimit,
 	}
+	n.excluder = &excluder.Excluder{
+		Clock: n.clock, Log: n.log, Decode: n.ports.DecodeAnnouncement, OnMark: n.markEndpoint,
+		Listed: func(endpoint string) bool { _, ok := n.observer.Table.Get(endpoint); return ok },
+	}
+	var gates roundtripper.Gates
+	if n.ports.DecodeAnnouncement != nil {
+		gates = append(gates, n.excluder)
+	}
 	if n.ports.DecodeRateLimit != nil {
-		n.ports.EndpointTransport.Gate = n.pacer
+		// Last, since it counts what it admits.
+		gates = append(gates, n.pacer)
+	}
+	if len(gates) > 0 {
+		n.ports.EndpointTransport.Gate = gates
+	}
+}
+
+// markEndpoint records in the endpoint table what an endpoint has said.
+func (n *Node) markEndpoint(endpoint string, m excluder.Mark) {
+	if m.Leaving {
+		n.observer.SetAnnounced(endpoint)
 	}
 }
 
@@ -420,6 +443,7 @@
 		{Name: "endpoint-list", Interval: listInterval, Task: n.observer.RefreshList},
 		{Name: "quarantine", Interval: quarantiner.AssessInterval, RetryInterval: time.Second, Task: n.quarantine.Assess},
 		{Name: "registration", Interval: registerInterval, Task: n.members.registrar.Register},
+		{Name: "endpoint-marks", Interval: sweepInterval, Task: n.excluder.Sweep},
 		{Name: "connections", Interval: sweepInterval, Task: n.ports.EndpointTransport.CloseExpired},
 	})
 }
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -11,6 +11,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/fleet/excluder"
 	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
@@ -106,7 +107,10 @@
 	// DecodeRateLimit returns what the head of a response says of the requests that the
 	// endpoint takes; nil means that endpoints name no limits.
 	DecodeRateLimit func(status int, h http.Header) (pacer.Statement, bool)
-	Engines         dispatcher.Engines
+	// DecodeAnnouncement returns what the head of a response says of further requests;
+	// nil means that responses say nothing of them.
+	DecodeAnnouncement func(status int, h http.Header) excluder.Statement
+	Engines            dispatcher.Engines
 	// Callers returns the handler for requests of callers.
 	Callers func(n *Node) http.Handler
 	// Components returns the additional components of the node; nil means none.
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -200,8 +200,9 @@
 // another engine.
 type PromptHandle struct {
 	ID string
-	// Address is the address of the engine.
-	Address string
+	// Address is the address of the engine, Endpoint identifies its start.
+	Address  string
+	Endpoint string
 }
 
 // Progress is the state of a request when an endpoint is to be chosen.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -168,6 +168,7 @@
 	a := forwarder.Attempt{
 		Request:       r,
 		Endpoint:      e.Instance,
+		EndpointID:    e.ID,
 		Address:       e.Address,
 		Connections:   c.maxConnections,
 		NewConnection: c.freshConnection,
@@ -245,7 +246,7 @@
 	case err == nil:
 		return picker.ResultResponse
 	// Codes 1xx are the caller's fault: it has disconnected, or its body failed.
-	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull, code == coder.EndpointLimited:
+	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull, heldBack(err):
 		return picker.ResultNone
 	case code == coder.EndpointRefused:
 		return picker.ResultRefused
@@ -335,6 +336,10 @@
 	if !d.chargeRetry(c) {
 		return false
 	}
+	if heldBack(c.history.Err()) {
+		// Nothing has failed that could recover in the meantime.
+		return true
+	}
 	left := r.Deadline.Sub(d.Clock.Now())
 	delay, ok := retrier.Backoff(c.rule.Backoff, c.history.Count(), d.Random(), left)
 	return ok && d.Clock.Sleep(c.job.ctx, delay) == nil
@@ -362,10 +367,16 @@
 // endpoint.
 func mayHaveArrived(err error) bool {
 	switch coder.FromError(err).Code() {
-	case coder.EndpointUnreachable, coder.ConnectionsFull, coder.EndpointLimited:
+	case coder.EndpointUnreachable, coder.ConnectionsFull:
 		return false
 	}
-	return true
+	return !heldBack(err)
+}
+
+// heldBack reports whether a request was not sent because of what its endpoint has said
+// before.
+func heldBack(err error) bool {
+	return coder.Is(err, coder.EndpointLimited) || coder.Is(err, coder.EndpointLeaving)
 }
 
 // connectionSkew is how many times its even share of an endpoint's connections
--- /dev/null
+++ b/internal/request/dispatcher/held_back_test.go
@@ -0,0 +1,83 @@
+package dispatcher_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
+	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
+	"foxtailflow.example/foxtailflow/internal/config/definer"
+	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/request/attempter"
+	"foxtailflow.example/foxtailflow/internal/request/carrier"
+	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
+	"foxtailflow.example/foxtailflow/internal/request/forwarder"
+)
+
+// TestHeldBackAttempt guards against a request that fails, waits or takes from the budget
+// because its endpoint has said that it leaves after it was chosen.
+func TestHeldBackAttempt(t *testing.T) {
+	is := is.New(t)
+	n := &leavingNode{}
+	q := &openQueue{runner.Queue[*dispatcher.Job]{Limit: 1}}
+	// The fake clock stands still: an attempt after a delay would never be made.
+	clock := timekeeper.NewFake(time.Unix(1000, 0))
+	d := &dispatcher.Dispatcher{
+		Clock: clock, Log: zerolog.Nop(), Configs: n, Chooser: n, Endpoints: n, Forwarder: n, Queue: q,
+		Random: func() float64 { return 0.5 },
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	go runner.Pool[*dispatcher.Job]{Workers: 1, Source: q, Handle: d.Handle}.Run(ctx)
+	result := d.Do(ctx, carrier.Request{
+		Route:    definer.Route{Kind: definer.Plain, Deployment: "shop", RetryPolicy: definer.RetryByMethod, Attempts: 1},
+		Method:   "POST",
+		Deadline: clock.Now().Add(time.Minute),
+	}, nil)
+	is.NoErr(result.Err)
+	is.Equal(n.sentTo, []string{"e1", "e2"})
+	is.Equal(n.results, []picker.AttemptResult{picker.ResultNone, picker.ResultResponse})
+}
+
+// leavingNode is a node with two endpoints, of which the first leaves.
+type leavingNode struct {
+	nopEndpoints
+	sentTo  []string
+	results []picker.AttemptResult
+}
+
+// Config returns an empty configuration.
+func (*leavingNode) Config() (definer.Config, error) { return definer.New(definer.Definitions{}), nil }
+
+// CheckCurrent reports that the configuration is up to date.
+func (*leavingNode) CheckCurrent() error { return nil }
+
+// Choose returns the first endpoint that was not tried.
+func (*leavingNode) Choose(_ carrier.Request, p carrier.Progress) picker.Plan {
+	id := []string{"e1", "e2"}[len(p.Tried)]
+	return picker.Plan{Run: picker.Choice{OK: true, Endpoint: picker.Endpoint{ID: id}}}
+}
+
+// RecordDone records the result of an attempt.
+func (n *leavingNode) RecordDone(_ string, _ int, r picker.AttemptResult, _ definer.Rule) {
+	n.results = append(n.results, r)
+}
+
+// Forward holds back the attempt at the first endpoint.
+func (n *leavingNode) Forward(_ context.Context, a forwarder.Attempt, _ carrier.ResponseWriter) forwarder.Report {
+	n.sentTo = append(n.sentTo, a.EndpointID)
+	if a.EndpointID == "e1" {
+		return forwarder.Report{Attempt: a.InitialState.With(attempter.Failed{Err: coder.Refuse(coder.EndpointLeaving, "endpoint e1 leaves")})}
+	}
+	return forwarder.Report{ResponseBegun: true, Status: 200, Attempt: a.InitialState.With(attempter.SendBegan{}).With(attempter.ResponseEnded{})}
+}
+
+// Prefill is never called.
+func (*leavingNode) Prefill(context.Context, forwarder.Attempt) (carrier.PromptHandle, forwarder.Report) {
+	panic("no engine prefills for a plain service")
+}
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -41,6 +41,7 @@
 	h, rep := d.Forwarder.Prefill(c.job.ctx, forwarder.Attempt{
 		Request:       r,
 		Endpoint:      e.Instance,
+		EndpointID:    e.ID,
 		Address:       e.Address,
 		Connections:   c.maxConnections,
 		NewConnection: c.freshConnection,
@@ -72,7 +73,7 @@
 		return false
 	}
 	c.progress.Tried = append(c.progress.Tried, e.ID)
-	if !coder.Is(err, coder.EndpointLimited) {
+	if !heldBack(err) {
 		c.failedPrefills++
 	}
 	c.progress.NoHandover = c.failedPrefills >= maxPrefills
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -104,10 +104,11 @@
 // Attempt is one attempt at a request.
 type Attempt struct {
 	Request carrier.Request
-	// Endpoint is the identity that the endpoint must have, Address its network
-	// address.
-	Endpoint string
-	Address  string
+	// Endpoint is the identity that the endpoint must have, EndpointID that of its
+	// start, Address its network address.
+	Endpoint   string
+	EndpointID string
+	Address    string
 	// Connections bounds this node's connections to the endpoint; 0 means no
 	// bound.
 	Connections int
@@ -181,7 +182,7 @@
 		h, err = x.readHandle(ctx)
 		return err
 	})
-	h.Address = a.Address
+	h.Address, h.Endpoint = a.Address, a.EndpointID
 	return h, rep
 }
 
@@ -229,6 +230,7 @@
 	}
 	x.watchdog.start(a.FirstByteTimeout, errFirstTimeout)
 	response, err := f.Transport.Send(ctx, a.Address, m, roundtripper.Options{
+		Endpoint:       a.EndpointID,
 		MaxConnections: a.Connections,
 		NewConnection:  a.NewConnection,
 		Fresh:          a.Resent,
--- a/internal/request/quarantiner/assess.go
+++ b/internal/request/quarantiner/assess.go
@@ -101,7 +101,7 @@
 			}
 			c := attributor.Crash{Endpoint: r.Endpoint, EndedAt: now.Add(-r.Age), Refuted: r.Refuted}.
 				WithSuspects(r.Suspects...).WithKnown(r.Known...).WithCleared(r.Cleared...)
-			if x, ok := q.Endpoint(r.Endpoint); ok && x.Leaving && r.Age < announcedAge {
+			if x, ok := q.Endpoint(r.Endpoint); ok && (x.Leaving || x.Announced) && r.Age < announcedAge {
 				c = c.WithRefuted()
 			}
 			e = e.WithCrash(q.withKnown(c))
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -228,7 +228,7 @@
 // leaving reports whether an endpoint is unknown or has announced that it is leaving.
 func (q *Quarantine) leaving(endpoint string) bool {
 	e, ok := q.Endpoint(endpoint)
-	return !ok || e.Leaving || e.Report.Leaving
+	return !ok || e.IsLeaving()
 }
 
 // RecordResponse records that an endpoint has responded to a request sent at a time.
