excluder: an endpoint that asks for a pause gets nothing from that node until its end

Cause: an endpoint that turns a request away with 503 may say in Retry-After for how long it wants nothing from that node. Nodes did not read it: after a refusal an endpoint was left out for 0.1 s, doubled up to 1.6 s, and a success ended that.

Change: the pause is kept with the mark of the endpoint's start and holds at the gate for every message, also releases of prompts and orders, and in the choice for requests, second steps, trials after an ejection and sources of a prefix. The latest end counts; a success, a shorter pause, a list or a configuration does not end it, it ends by itself. A request waits for the end of a pause within its time, as for a limit, and is else refused at once as not run with the time that is left.

Ruled out: the back-off after refusals in its place, as a success ends it.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -65,6 +65,7 @@
 	AnswerLate          Code = 508
 	EndpointLimited     Code = 509
 	EndpointLeaving     Code = 510
+	EndpointPaused      Code = 511
 
 	PlatformUnavailable Code = 601
 	PlatformConflict    Code = 602
--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -54,7 +54,11 @@
 }
 
 // closingGate is a gate that may close while a connection is opened.
-type closingGate struct{ closesOnDial, closed bool }
+type closingGate struct {
+	closesOnDial, closed bool
+	// heard has the values of the header Id of the responses that the gate was told of.
+	heard []string
+}
 
 // Admit fails while the gate is closed.
 func (g *closingGate) Admit(roundtripper.Destination) error {
@@ -64,8 +68,10 @@
 	return nil
 }
 
-// RecordResponse does nothing.
-func (*closingGate) RecordResponse(roundtripper.Destination, time.Time, int, http.Header) {}
+// RecordResponse records a response.
+func (g *closingGate) RecordResponse(_ roundtripper.Destination, _ time.Time, _ int, h http.Header) {
+	g.heard = append(g.heard, h.Get("Id"))
+}
 
 // dial opens a connection that counts the bytes read from it.
 func (f *fixture) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -108,6 +114,10 @@
 			out += f.server.received()
 		}
 		return out + f.stats()
+	case "heard":
+		out := fmt.Sprintln(f.gate.heard)
+		f.gate.heard = nil
+		return out
 	case "release":
 		for _, a := range f.unread {
 			if _, err := io.ReadAll(a.Body); err != nil {
--- a/internal/decision/picker/endpoint.go
+++ b/internal/decision/picker/endpoint.go
@@ -107,6 +107,9 @@
 	// it gets a request of this node again.
 	Limited     bool
 	PausedUntil time.Time
+	// PauseRequestedUntil is until when the endpoint itself wants no requests of this
+	// node; no success ends it.
+	PauseRequestedUntil time.Time
 	// Failures counts consecutive failures.
 	Failures int
 	// EjectedUntil is when an ejected endpoint may get a trial request; the zero
@@ -215,10 +218,16 @@
 	return e
 }
 
-// Pause returns how long the endpoint gets no requests, after a refusal or because its
-// limit of requests is spent.
+// WithPauseRequested returns a copy that wants no requests until a time.
+func (e Endpoint) WithPauseRequested(until time.Time) Endpoint {
+	e.PauseRequestedUntil = until
+	return e
+}
+
+// Pause returns how long the endpoint gets no requests, after a refusal, because its
+// limit of requests is spent or because it has asked for that.
 func (e Endpoint) Pause(now time.Time) time.Duration {
-	return max(e.RefusedUntil.Sub(now), e.PausedUntil.Sub(now), 0)
+	return max(e.RefusedUntil.Sub(now), e.PausedUntil.Sub(now), e.PauseRequestedUntil.Sub(now), 0)
 }
 
 // WithChanging returns a copy for which an order of a new role is in progress, or
--- a/internal/decision/picker/picker.go
+++ b/internal/decision/picker/picker.go
@@ -71,6 +71,7 @@
 	ReasonLoaded      Reason = "loaded"
 	ReasonRefused     Reason = "refused"
 	ReasonLimited     Reason = "limited"
+	ReasonPaused      Reason = "paused"
 )
 
 // Basis is the state of the engine on which a choice is based.
@@ -169,6 +170,9 @@
 	if !ok || !e.MayProbe(req.Now) || UnavailableReason(e) != ReasonEjected || !e.Report.Role.Serves(req.Phase) {
 		return false
 	}
+	if req.Now.Before(e.PauseRequestedUntil) {
+		return false
+	}
 	if !req.MayRetry && !e.Report.At.After(e.EjectedUntil) {
 		return false
 	}
--- a/internal/decision/picker/picker_test.go
+++ b/internal/decision/picker/picker_test.go
@@ -113,6 +113,10 @@
 			e = e.WithLeaving(true)
 		case "signals":
 			r.Leaving = true
+		case "announced":
+			e = e.WithAnnounced(true)
+		case "asks-pause":
+			e = e.WithPauseRequested(start.Add(time.Second))
 		case "changing":
 			r.Changing = true
 		case "draining":
--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -159,6 +159,9 @@
 	if req.Now.Before(e.RefusedUntil) {
 		return ReasonRefused
 	}
+	if req.Now.Before(e.PauseRequestedUntil) {
+		return ReasonPaused
+	}
 	if req.Now.Before(e.PausedUntil) {
 		return ReasonLimited
 	}
--- a/internal/decision/placer/estimate.go
+++ b/internal/decision/placer/estimate.go
@@ -22,7 +22,7 @@
 	status picker.Reason
 	role   picker.Role
 	// excluded is set if the engine is in the backoff after a refusal, has spent its
-	// limit of requests, or the request has failed there.
+	// limit of requests or asked for a pause, or the request has failed there.
 	excluded bool
 	// cached is the number of tokens of the prompt prefix in its cache.
 	cached int
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -214,7 +214,7 @@
 	best := -1
 	for i := range c.Engines {
 		cached := c.estimates[i].cached
-		if cached == 0 || c.estimates[i].status != "" {
+		if cached == 0 || c.estimates[i].status != "" || c.Requirements.Now.Before(c.Engines[i].PauseRequestedUntil) {
 			continue
 		}
 		if best < 0 || cached > c.estimates[best].cached ||
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -108,6 +108,10 @@
 			c.PausedUntil = w.now.Add(time.Duration(number(t, value)) * time.Millisecond)
 		case "leaving":
 			c.Leaving = true
+		case "announced":
+			c = c.WithAnnounced(true)
+		case "asks-pause-ms":
+			c = c.WithPauseRequested(w.now.Add(time.Duration(number(t, value)) * time.Millisecond))
 		case "changing":
 			c.Changing = true
 		default:
--- a/internal/fleet/excluder/excluder.go
+++ b/internal/fleet/excluder/excluder.go
@@ -1,7 +1,9 @@
-// Package excluder keeps requests from endpoints that have said that they leave.
+// Package excluder keeps requests from endpoints that have said that they leave, or have
+// asked for a pause.
 //
 // An endpoint that leaves says so in its responses, which can be earlier than the list of
-// endpoints, or be all that a node ever hears of it. Each node learns it from its own
+// endpoints, or be all that a node ever hears of it. One that turns a request away may say
+// for how long it wants none from this node. Each node learns it from its own
 // responses and acts at once; what other nodes have heard does not matter. The choice of
 // an endpoint leaves marked ones out, and the gate here holds back what was chosen or
 // connected before the mark.
@@ -26,6 +28,9 @@
 type Statement struct {
 	// Leaving means that the endpoint leaves.
 	Leaving bool
+	// Pause is how long the endpoint wants no requests of this node; 0 means that it asks
+	// for no pause.
+	Pause time.Duration
 }
 
 // Mark is what an endpoint has said; the zero value means nothing.
@@ -34,18 +39,26 @@
 type Mark struct {
 	// Leaving holds for as long as the endpoint runs.
 	Leaving bool
+	// PausedUntil is until when the endpoint wants no requests.
+	PausedUntil time.Time
 	// goneAt is since when the endpoint has not been listed; the zero time means that it
 	// is listed.
 	goneAt time.Time
 }
 
-// With returns the mark after a statement. A response without one changes nothing, as
-// responses overtake each other.
-func (m Mark) With(s Statement) Mark {
+// With returns the mark after a statement that was received at a time. A response without
+// one, or with a shorter pause, changes nothing, as responses overtake each other.
+func (m Mark) With(s Statement, now time.Time) Mark {
 	m.Leaving = m.Leaving || s.Leaving
+	if until := now.Add(s.Pause); s.Pause > 0 && until.After(m.PausedUntil) {
+		m.PausedUntil = until
+	}
 	return m
 }
 
+// paused reports whether the endpoint wants no requests at a time.
+func (m Mark) paused(now time.Time) bool { return now.Before(m.PausedUntil) }
+
 // withListed returns the mark of an endpoint that is listed or not at a time.
 func (m Mark) withListed(listed bool, now time.Time) Mark {
 	switch {
@@ -81,16 +94,28 @@
 )
 
 // Admit fails if an endpoint takes no request. One that leaves still takes messages that
-// are no requests of callers, such as the release of a prompt.
+// are no requests of callers, such as the release of a prompt; one that has asked for a
+// pause gets nothing.
 func (x *Excluder) Admit(d roundtripper.Destination) error {
 	m, ok := x.marks.Get(d.Endpoint)
-	if !ok || !m.Leaving || d.Control {
+	if !ok {
+		return nil
+	}
+	now := x.Clock.Now()
+	var err error
+	switch {
+	case m.Leaving && !d.Control:
+		heldBack.Add("leaving", 1)
+		err = coder.Refuse(coder.EndpointLeaving, "endpoint %s leaves", d.Endpoint)
+	case m.paused(now):
+		heldBack.Add("pause", 1)
+		err = coder.Refuse(coder.EndpointPaused, "endpoint %s has asked for a pause", d.Endpoint).WithRetryAfter(m.PausedUntil.Sub(now))
+	default:
 		return nil
 	}
-	heldBack.Add("leaving", 1)
 	// The endpoint may have been listed anew since it was marked.
 	x.OnMark(d.Endpoint, m)
-	return coder.Refuse(coder.EndpointLeaving, "endpoint %s leaves", d.Endpoint)
+	return err
 }
 
 // RecordResponse takes what a response says. It is taken for the endpoint that the request
@@ -100,15 +125,20 @@
 	if s == (Statement{}) || d.Endpoint == "" {
 		return
 	}
+	now := x.Clock.Now()
 	var before, after Mark
 	x.marks.Update(d.Endpoint, func(m Mark, _ bool) (Mark, bool) {
-		before, after = m, m.With(s)
+		before, after = m, m.With(s, now)
 		return after, true
 	})
 	if after.Leaving && !before.Leaving {
 		announced.Add("leaving", 1)
 		x.Log.Info().Str("endpoint", d.Endpoint).Msg("endpoint says that it leaves")
 	}
+	if after.paused(now) && !before.paused(now) {
+		announced.Add("pause", 1)
+		x.Log.Info().Str("endpoint", d.Endpoint).Dur("pause-ms", s.Pause).Msg("endpoint asks for a pause")
+	}
 	if before != after {
 		x.OnMark(d.Endpoint, after)
 	}
@@ -118,8 +148,8 @@
 // entries may expire in an outage of the store and be written again.
 const goneLifetime = 10 * time.Minute
 
-// Sweep drops the marks of endpoints that have not been listed for long; a periodic task
-// runs it.
+// Sweep drops the marks of endpoints that have not been listed for long, and of pauses
+// that are over; a periodic task runs it.
 func (x *Excluder) Sweep(context.Context) error {
 	now := x.Clock.Now()
 	var endpoints []string
@@ -131,7 +161,8 @@
 		listed := x.Listed(endpoint)
 		x.marks.Update(endpoint, func(m Mark, ok bool) (Mark, bool) {
 			m = m.withListed(listed, now)
-			return m, ok && (listed || now.Sub(m.goneAt) < goneLifetime)
+			holds := m.Leaving || m.paused(now)
+			return m, ok && holds && (listed || now.Sub(m.goneAt) < goneLifetime)
 		})
 	}
 	return nil
--- a/internal/fleet/excluder/excluder_test.go
+++ b/internal/fleet/excluder/excluder_test.go
@@ -17,14 +17,17 @@
 
 // TestScripts guards against requests to an endpoint that has said that it leaves, against
 // a mark that a list or an overtaken response ends, against one that holds for another
-// endpoint or for the next start, and against marks that are kept for ever.
+// endpoint or for the next start, and against marks that are kept for ever. It guards
+// likewise against messages to an endpoint that has asked for a pause, and against a pause
+// that a shorter one, a success or a list ends, or that never ends.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := &harness{clock: timekeeper.NewFake(time.Unix(1000, 0)), listed: make(map[string]bool), rows: make(map[string]excluder.Mark)}
 		h.excluder = &excluder.Excluder{
 			Clock: h.clock, Log: zerolog.Nop(),
 			Decode: func(_ int, header http.Header) excluder.Statement {
-				return excluder.Statement{Leaving: header.Get("Says") == "leaving"}
+				pause, _ := time.ParseDuration(header.Get("Pause"))
+				return excluder.Statement{Leaving: header.Get("Says") == "leaving", Pause: pause}
 			},
 			Listed: func(endpoint string) bool { return h.listed[endpoint] },
 			OnMark: func(endpoint string, m excluder.Mark) {
@@ -71,6 +74,9 @@
 		if d.HasArg("leaving") {
 			header.Set("Says", "leaving")
 		}
+		pause := ""
+		d.MaybeScanArgs(t, "pause", &pause)
+		header.Set("Pause", pause)
 		h.excluder.RecordResponse(to, h.clock.Now(), http.StatusOK, header)
 		return ""
 	case "wait":
@@ -88,6 +94,10 @@
 	case "send":
 		if err := h.excluder.Admit(to); err != nil {
 			e := coder.FromError(err)
+			if e.Code() == coder.EndpointPaused {
+				left := h.rows[arg].PausedUntil.Sub(h.clock.Now())
+				return fmt.Sprintf("%d %s, retry after %v; table: paused for %v\n", e.Code(), e.Outcome(), e.RetryAfter(), left)
+			}
 			return fmt.Sprintf("%d %s; table: leaving %v\n", e.Code(), e.Outcome(), h.rows[arg].Leaving)
 		}
 		return "sent\n"
--- a/internal/fleet/observer/observer.go
+++ b/internal/fleet/observer/observer.go
@@ -280,6 +280,11 @@
 	o.change(id, func(e picker.Endpoint) picker.Endpoint { return e.WithAnnounced(true) })
 }
 
+// SetPauseRequested records until when an endpoint wants no requests.
+func (o *Observer) SetPauseRequested(id string, until time.Time) {
+	o.Table.Update(id, func(e picker.Endpoint, ok bool) (picker.Endpoint, bool) { return e.WithPauseRequested(until), ok })
+}
+
 // IDAt returns the identifier of the endpoint with an address.
 func (o *Observer) IDAt(address string) (id string, ok bool) {
 	o.Table.Each(func(_ string, e picker.Endpoint) bool {
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -266,7 +266,7 @@
 }
 
 // buildGates builds what holds back requests to endpoints by what these say: of their
-// limits, and that they leave.
+// limits, that they leave, and for how long they want none.
 func (n *Node) buildGates() {
 	n.pacer = &pacer.Pacer{
 		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
@@ -294,6 +294,7 @@
 	if m.Leaving {
 		n.observer.SetAnnounced(endpoint)
 	}
+	n.observer.SetPauseRequested(endpoint, m.PausedUntil)
 }
 
 // nodeNames returns the names of all nodes that may send requests: those with rows, and
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -376,7 +376,11 @@
 // heldBack reports whether a request was not sent because of what its endpoint has said
 // before.
 func heldBack(err error) bool {
-	return coder.Is(err, coder.EndpointLimited) || coder.Is(err, coder.EndpointLeaving)
+	switch coder.FromError(err).Code() {
+	case coder.EndpointLimited, coder.EndpointLeaving, coder.EndpointPaused:
+		return true
+	}
+	return false
 }
 
 // connectionSkew is how many times its even share of an endpoint's connections
