--- a/internal/decision/picker/set.go
+++ b/internal/decision/picker/set.go
@@ -72,7 +72,7 @@
 // UnavailableReason returns why an endpoint takes no new work of any phase, or "".
 func UnavailableReason(e Endpoint) Reason {
 	switch {
-	case e.Leaving || e.Report.Leaving:
+	case e.IsLeaving():
 		return ReasonLeaving
 	case e.Draining:
 		return ReasonDraining
@@ -159,6 +159,9 @@
 	if req.Now.Before(e.RefusedUntil) {
 		return ReasonRefused
 	}
+	if req.Now.Before(e.PauseRequestedUntil) {
+		return ReasonPaused
+	}
 	if req.Now.Before(e.PausedUntil) {
 		return ReasonLimited
 	}
