roundtripper: a long body is sent without a second copy

Change: a body of more than 8 KiB is written from where it is held, after the head, by the goroutine that already wrote it.

--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -166,7 +166,7 @@
 const maxInlineBody = 8 << 10
 
 func (x *exchange) run(req Request, head []byte, o Options) (*Response, error) {
-	if err := x.write(req, append(head, req.Body...)); err != nil {
+	if err := x.write(req, head); err != nil {
 		// The server may have responded and closed before it has read everything.
 		if resp, readErr := x.read(req.Method, o); readErr == nil {
 			x.reusable = false
@@ -177,16 +177,21 @@
 	return x.read(req.Method, o)
 }
 
-func (x *exchange) write(req Request, data []byte) error {
+// write sends the request; a long body is sent from where it is held, without a copy.
+func (x *exchange) write(req Request, head []byte) error {
 	if len(req.Body) <= maxInlineBody && req.Stream == nil {
-		_, err := x.conn.netConn.Write(data)
+		_, err := x.conn.netConn.Write(append(head, req.Body...))
 		return err
 	}
 	x.bodyWriter, x.writeResult = &conc.WaitGroup{}, make(chan error, 1)
 	x.bodyWriter.Go(func() {
-		_, err := x.conn.netConn.Write(data)
-		if err == nil && req.Stream != nil {
+		_, err := x.conn.netConn.Write(head)
+		switch {
+		case err != nil:
+		case req.Stream != nil:
 			err = x.writeStream(req)
+		default:
+			_, err = x.conn.netConn.Write(req.Body)
 		}
 		x.writeResult <- err
 	})
@@ -379,7 +384,7 @@
 	if host == "" {
 		host = address
 	}
-	b := make([]byte, 0, headCapacity+len(req.Body))
+	b := make([]byte, 0, headCapacity+min(len(req.Body), maxInlineBody))
 	b = append(b, req.Method+" "+req.Target+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
 	for name, values := range req.Header {
 		for _, v := range values {
--- a/internal/base/roundtripper/transport_test.go
+++ b/internal/base/roundtripper/transport_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +19,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
@@ -338,3 +341,20 @@
 		}
 	}
 }
+
+// TestLongBodyIsNotCopied guards against a second copy in memory of each long body that
+// is being sent.
+func TestLongBodyIsNotCopied(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	defer server.Close()
+	transport := &roundtripper.Transport{Clock: timekeeper.System{}, IdleTimeout: time.Second, Dial: roundtripper.Dialer{Timeout: time.Second, PeerTimeout: time.Second}.Dial}
+	body := make([]byte, 16<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	resp, err := transport.Send(t.Context(), server.Listener.Addr().String(), roundtripper.Request{Method: http.MethodPost, Target: "/", Body: body}, roundtripper.Options{})
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < uint64(len(body)/4))
+}
