reserver: what a node holds for callers and endpoints has one bound

Change: package reserver divides the memory of the process. A body is reserved before it is read, and held until its request has ended; it waits unread for a quarter of the time of the request, 0.6 s at most, and is then refused with 410 (503, not run, Retry-After). The refusal is sent before the body is read, which is then discarded, so that a caller that sends all of it first gets the refusal and no reset. Short bodies have memory of their own and never wait for long ones. What is held of responses beyond 32 KiB is reserved, too; without memory a plain response is passed on as it arrives. The limit of the Go runtime comes from the same figure. A node of the product takes it from the key memory-mb. golang.org/x/sync (semaphore) does the accounting.

Not measured: 2,000 callers that read nothing of their responses; the speed of small requests side by side.

--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -54,6 +54,7 @@
 	ShuttingDown    Code = 407
 	ConnectionsFull Code = 408
 	PromptSuspected Code = 409
+	MemoryFull      Code = 410
 
 	EndpointUnreachable Code = 501
 	EndpointFailed      Code = 502
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/command/printer"
 	"foxtailflow.example/foxtailflow/internal/node/assembler"
@@ -113,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	reserver.LimitRuntime(s.MemoryBytes)
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return coder.Refuse(coder.SettingsBad, "settings %s: log-level", path).WithCause(err)
--- a/internal/front/receiver/model.go
+++ b/internal/front/receiver/model.go
@@ -1,15 +1,16 @@
 package receiver
 
 import (
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
+	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/front/decoder"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
@@ -17,32 +18,37 @@
 )
 
 func (rc Receiver) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	rc.serve(w, r, func(id string) (carrier.Request, error) {
+	rc.serve(w, r, func(id string) (carrier.Request, reserver.Reservation, error) {
 		return rc.modelRequest(w, r, id, decoder.DecodeChat)
 	})
 }
 
 func (rc Receiver) completion(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	rc.serve(w, r, func(id string) (carrier.Request, error) {
+	rc.serve(w, r, func(id string) (carrier.Request, reserver.Reservation, error) {
 		return rc.modelRequest(w, r, id, decoder.DecodeCompletion)
 	})
 }
 
 func (rc Receiver) plain(w http.ResponseWriter, r *http.Request) {
-	rc.serve(w, r, func(id string) (carrier.Request, error) {
+	rc.serve(w, r, func(id string) (carrier.Request, reserver.Reservation, error) {
 		return rc.plainRequest(w, r, id)
 	})
 }
 
 // serve builds the request, passes it to the handler and finishes the response.
-func (rc Receiver) serve(w http.ResponseWriter, r *http.Request, build func(id string) (carrier.Request, error)) {
+func (rc Receiver) serve(w http.ResponseWriter, r *http.Request, build func(id string) (carrier.Request, reserver.Reservation, error)) {
 	id := identifier.NewRequestID()
 	w.Header().Set(encoder.HeaderRequestID, id)
-	req, err := build(id)
+	req, held, err := build(id)
+	defer held.Release()
 	if err != nil {
 		f := coder.FromError(err)
 		rc.Log.Info().Str("request", id).Int("code", int(f.Code())).Str("outcome", f.Outcome().String()).
 			Str("path", r.URL.Path).Msg("request refused")
+		if f.Code() == coder.MemoryFull {
+			acceptor.RespondBeforeBody(w, r, func() { encoder.WriteRefusal(w, f) })
+			return
+		}
 		encoder.WriteRefusal(w, f)
 		return
 	}
@@ -62,36 +68,36 @@
 	return definer.DefaultLimits().WriteTimeout
 }
 
-func (rc Receiver) modelRequest(w http.ResponseWriter, r *http.Request, id string, decode func([]byte) (decoder.CompletionRequest, error)) (carrier.Request, error) {
+func (rc Receiver) modelRequest(w http.ResponseWriter, r *http.Request, id string, decode func([]byte) (decoder.CompletionRequest, error)) (carrier.Request, reserver.Reservation, error) {
 	now := rc.Clock.Now()
 	cfg, err := rc.Configs.Config()
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	if err := checkHeader(r, cfg.Limits()); err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	// The API key is checked before the body is read, so that a caller without one
 	// cannot make a node buffer large bodies.
 	if _, err := authenticator.Identify(cfg, r.Header.Get("Authorization")); err != nil && !hasOpenModel(cfg) {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	limits := cfg.Limits()
-	body, err := readBody(w, r, limits.MaxBody, limits.BodyTimeout, now)
+	body, held, err := rc.readBody(w, r, limits.MaxBody, limits.BodyTimeout, now)
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	p, err := decode(body)
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, held, err
 	}
 	route, ok := cfg.RouteByModel(p.Model)
 	if !ok {
-		return carrier.Request{}, coder.Refuse(coder.UnknownModel, "there is no model %q", p.Model)
+		return carrier.Request{}, held, coder.Refuse(coder.UnknownModel, "there is no model %q", p.Model)
 	}
 	req, err := rc.newRequest(cfg, route, r, id, now)
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, held, err
 	}
 	if p.Stream && !p.IncludeUsage {
 		body = p.BodyWithUsage()
@@ -102,7 +108,7 @@
 	req.Prompt = p.RawPrompt
 	req.PromptTokens = p.EstimateTokens()
 	req.MaxTokens = p.MaxTokens
-	return req, nil
+	return req, held, nil
 }
 
 func hasOpenModel(cfg definer.Config) bool {
@@ -118,22 +124,22 @@
 // buffered for a second attempt, which a request that may be repeated can get.
 const maxBufferedBody = 64 << 10
 
-func (rc Receiver) plainRequest(w http.ResponseWriter, r *http.Request, id string) (carrier.Request, error) {
+func (rc Receiver) plainRequest(w http.ResponseWriter, r *http.Request, id string) (carrier.Request, reserver.Reservation, error) {
 	now := rc.Clock.Now()
 	cfg, err := rc.Configs.Config()
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	if err := checkHeader(r, cfg.Limits()); err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	route, ok := cfg.RouteByPath(r.URL.Path)
 	if !ok {
-		return carrier.Request{}, coder.Refuse(coder.UnknownPath, "there is no route for %s %s", r.Method, r.URL.Path)
+		return carrier.Request{}, reserver.Reservation{}, coder.Refuse(coder.UnknownPath, "there is no route for %s %s", r.Method, r.URL.Path)
 	}
 	req, err := rc.newRequest(cfg, route, r, id, now)
 	if err != nil {
-		return carrier.Request{}, err
+		return carrier.Request{}, reserver.Reservation{}, err
 	}
 	limits := cfg.Limits()
 	maxBody := limits.MaxBody
@@ -141,17 +147,17 @@
 		maxBody = route.MaxBody
 	}
 	if r.ContentLength > maxBody {
-		return carrier.Request{}, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", maxBody)
+		return carrier.Request{}, reserver.Reservation{}, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", maxBody)
 	}
 	req.PromptTokens = 1
 	// A request with an idempotency key is compared with its repeats by its body.
 	small := r.ContentLength >= 0 && r.ContentLength <= maxBufferedBody
 	if small || req.IdempotencyKey != "" {
-		body, err := readBody(w, r, maxBody, limits.BodyTimeout, now)
+		body, held, err := rc.readBody(w, r, maxBody, limits.BodyTimeout, now)
 		if err != nil {
-			return carrier.Request{}, err
+			return carrier.Request{}, reserver.Reservation{}, err
 		}
-		return req.WithBody(carrier.BytesBody(body)), nil
+		return req.WithBody(carrier.BytesBody(body)), held, nil
 	}
 	stream := &streamedBody{
 		body:    http.MaxBytesReader(w, r.Body, maxBody),
@@ -160,7 +166,7 @@
 		limit:   maxBody,
 		timeout: limits.BodyTimeout,
 	}
-	return req.WithBody(carrier.Body{Stream: stream, Length: r.ContentLength}), nil
+	return req.WithBody(carrier.Body{Stream: stream, Length: r.ContentLength}), reserver.Reservation{}, nil
 }
 
 // newRequest returns a request with the fields that model and plain requests share.
@@ -206,13 +212,25 @@
 	return keys[0], nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, now time.Time) ([]byte, error) {
+// maxMemoryWait is the longest time for which a body waits for memory.
+const maxMemoryWait = 600 * time.Millisecond
+
+// readBody reads a complete body; the reservation of its memory is released when the
+// request has ended.
+func (rc Receiver) readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, now time.Time) ([]byte, reserver.Reservation, error) {
 	// A caller that sends its body slowly must not hold memory indefinitely.
-	_ = http.NewResponseController(w).SetReadDeadline(now.Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(now.Add(timeout + maxMemoryWait))
+	if r.ContentLength > limit {
+		return nil, reserver.Reservation{}, coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	body, held, err := rc.Memory.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, maxMemoryWait)
 	if err != nil {
-		return nil, bodyError(err, limit, timeout)
+		if coder.Is(err, coder.MemoryFull) {
+			return nil, held, err
+		}
+		return nil, held, bodyError(err, limit, timeout)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, nil
+	_ = control.SetReadDeadline(time.Time{})
+	return body, held, nil
 }
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"foxtailflow.example/foxtailflow/internal/auth/authenticator"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/identifier"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/front/encoder"
@@ -43,6 +44,8 @@
 	Log     zerolog.Logger
 	Configs ConfigSource
 	Handler Handler
+	// Memory bounds the bodies that are held; nil means no bound.
+	Memory *reserver.Memory
 	// CheckReady returns why the node accepts no requests, or nil if it accepts
 	// them.
 	CheckReady func() error
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -68,6 +68,7 @@
 		BalancerDelay:       s.BalancerDelay,
 		EntryRewriteTimeout: entryRewriteTimeout,
 		Workers:             s.Workers,
+		MemoryBytes:         s.MemoryBytes,
 		LeaseDuration:       leaseDuration,
 		MaxReportDelay:      maxReportDelay,
 		StaleAfter:          s.StaleAfter,
@@ -98,7 +99,7 @@
 		Dialect:           translator.Translator{},
 		Engines:           controller.Client{Transport: newTransport("")},
 		Callers: func(n *composer.Node) http.Handler {
-			return receiver.Receiver{Clock: b.clock, Log: b.log, Configs: n, Handler: n, CheckReady: n.Ready}.Routes()
+			return receiver.Receiver{Clock: b.clock, Log: b.log, Configs: n, Handler: n, Memory: n.Memory(), CheckReady: n.Ready}.Routes()
 		},
 		Components:        b.buildComponents,
 		EndpointTransport: endpointTransport,
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -20,6 +20,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
@@ -43,6 +44,7 @@
 	ports    Ports
 	clock    timekeeper.Clock
 	log      zerolog.Logger
+	memory   *reserver.Memory
 
 	configs      *follower.Follower
 	endpoints    *follower.Follower
@@ -113,7 +115,7 @@
 
 // New builds a node and opens its listeners.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
-	n := &Node{settings: s, ports: p, clock: clock, log: log, startedAt: clock.Now()}
+	n := &Node{settings: s, ports: p, clock: clock, log: log, memory: reserver.New(s.MemoryBytes, clock), startedAt: clock.Now()}
 	n.config.Rank = keeper.RankConfig
 	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
@@ -319,7 +321,7 @@
 			ListState: n.listState,
 		},
 		Endpoints:  n.observer,
-		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect},
+		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory},
 		Queue:      q,
 		Claims:     n.components.Claims,
 		Usage:      n.components.Usage,
@@ -350,6 +352,9 @@
 	n.members.collector.RecordPrefixes(engine, keys)
 }
 
+// Memory returns the memory for the data of callers and endpoints.
+func (n *Node) Memory() *reserver.Memory { return n.memory }
+
 // Limits returns the limits in force, or the defaults before the first
 // configuration.
 func (n *Node) Limits() definer.Limits {
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -49,6 +49,8 @@
 	EntryRewriteTimeout time.Duration
 	// Workers is the number of requests that are processed at once.
 	Workers int
+	// MemoryBytes is the memory that the process may use; 0 means that there is no bound.
+	MemoryBytes int64
 	// LeaseDuration is the duration of leases, after which other nodes may take
 	// over duties.
 	LeaseDuration time.Duration
--- a/internal/node/configurer/settings.go
+++ b/internal/node/configurer/settings.go
@@ -50,7 +50,9 @@
 	// OperatorHash is the SHA-256 of the operators' credential.
 	OperatorHash [32]byte
 	// Workers is the number of requests that are processed at once.
-	Workers        int
+	Workers int
+	// MemoryBytes is the memory that the process may use; 0 means no bound.
+	MemoryBytes    int64
 	ConnectTimeout time.Duration
 	LoadInterval   time.Duration
 	// BalancerDelay is how long the load balancer takes to notice that a node is
@@ -65,9 +67,12 @@
 // maxWorkers keeps a mistyped number from exhausting memory.
 const maxWorkers = 100_000
 
+// maxMemoryMB is the largest memory of a process in MB: 16 TB.
+const maxMemoryMB = 1 << 24
+
 // knownKeys lists the keys of each section.
 var knownKeys = map[string][]string{
-	"node":      {"id", "data-centre", "workers", "connect-wait", "load-every", "leave-wait", "stale-after", "log-level"},
+	"node":      {"id", "data-centre", "workers", "memory-mb", "connect-wait", "load-every", "leave-wait", "stale-after", "log-level"},
 	"callers":   {"listen", "header-wait"},
 	"operators": {"listen", "credential-hash"},
 	"peers":     {"listen", "advertise", "source-address", "addresses"},
@@ -98,6 +103,7 @@
 		ID:                      r.text("node", "id", identifier.NewNodeID()),
 		DataCentre:              r.required("node", "data-centre"),
 		Workers:                 r.number("node", "workers", 128*runtime.GOMAXPROCS(0), 1, maxWorkers),
+		MemoryBytes:             int64(r.number("node", "memory-mb", 0, 0, maxMemoryMB)) << 20,
 		ConnectTimeout:          r.duration("node", "connect-wait", 500*time.Millisecond),
 		LoadInterval:            r.duration("node", "load-every", 250*time.Millisecond),
 		BalancerDelay:           r.duration("node", "leave-wait", 2*time.Second),
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
@@ -99,6 +100,8 @@
 	Clock     timekeeper.Clock
 	Transport *roundtripper.Transport
 	Dialect   Dialect
+	// Memory bounds what is held of responses; nil means no bound.
+	Memory *reserver.Memory
 }
 
 // Attempt is one attempt at a request.
--- a/internal/request/forwarder/relay.go
+++ b/internal/request/forwarder/relay.go
@@ -11,6 +11,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/limiter"
+	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/request/attempter"
@@ -89,43 +90,86 @@
 // readHandle reads the response to a request that only prefills a prompt.
 func (x *relay) readHandle(ctx context.Context) (carrier.PromptHandle, error) {
 	x.watchdog.start(x.attempt.IdleTimeout, errIdleTimeout)
-	data, err := x.readAll(ctx)
+	data, held, err := x.readAll(ctx)
 	if err != nil {
 		return carrier.PromptHandle{}, err
 	}
+	defer held.Release()
 	if x.head.Status != http.StatusOK {
 		return carrier.PromptHandle{}, coder.New(coder.EndpointFailed, "the endpoint responded to a prefill request with status %d", x.head.Status)
 	}
 	return x.forwarder.Dialect.Handle(data)
 }
 
-func (x *relay) readAll(ctx context.Context) ([]byte, error) {
-	data, err := limiter.ReadAll(x.response.Body, maxBuffered)
+// readAll reads a response to its end. The reservation is released when the data is no
+// longer used; it holds nothing after an error.
+func (x *relay) readAll(ctx context.Context) ([]byte, reserver.Reservation, error) {
+	data, err := x.readFirst()
 	if err != nil {
-		return nil, readFailure(ctx, err)
+		return nil, reserver.Reservation{}, readFailure(ctx, err)
+	}
+	var held reserver.Reservation
+	if len(data) == readBufferSize {
+		held, err = x.forwarder.Memory.AwaitResponse(ctx, heldPerByte*maxBuffered, x.attempt.Request.Deadline.Sub(x.forwarder.Clock.Now()))
+		if err != nil {
+			return nil, held, coder.FromError(err).WithOutcome(coder.Unknown)
+		}
+		data, err = limiter.ReadAll(io.MultiReader(bytes.NewReader(data), x.response.Body), maxBuffered)
+		if err != nil {
+			held.Release()
+			return nil, reserver.Reservation{}, readFailure(ctx, err)
+		}
 	}
 	// A caller that is slow to take the response does not hold the connection.
 	x.close()
-	return data, nil
+	return data, held, nil
+}
+
+// heldPerByte is how many bytes may be in use for each byte of a response of unknown
+// length while its buffer grows.
+const heldPerByte = 2
+
+// readFirst reads as much of a response as is held without a reservation; the response
+// is complete if that is less than readBufferSize.
+func (x *relay) readFirst() ([]byte, error) {
+	return io.ReadAll(io.LimitReader(x.response.Body, readBufferSize))
 }
 
 func (x *relay) passBuffered(ctx context.Context, w carrier.ResponseWriter) error {
-	data, err := x.readAll(ctx)
+	data, held, err := x.readAll(ctx)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
 	return x.passWhole(ctx, w, data)
 }
 
 func (x *relay) passPrefetched(ctx context.Context, w carrier.ResponseWriter) error {
-	data, err := io.ReadAll(io.LimitReader(x.response.Body, maxPrefetch))
-	switch {
-	case err != nil:
+	data, err := x.readFirst()
+	if err != nil {
 		return readFailure(ctx, err)
-	case len(data) < maxPrefetch:
-		x.close()
-		return x.passWhole(ctx, w, data)
-	case x.failedByEndpoint():
+	}
+	if len(data) == readBufferSize {
+		held, ok := x.forwarder.Memory.ReserveResponse(heldPerByte * maxPrefetch)
+		if !ok {
+			return x.passRest(ctx, w, data)
+		}
+		defer held.Release()
+		rest, err := io.ReadAll(io.LimitReader(x.response.Body, maxPrefetch-readBufferSize))
+		if err != nil {
+			return readFailure(ctx, err)
+		}
+		if data = append(data, rest...); len(data) == maxPrefetch {
+			return x.passRest(ctx, w, data)
+		}
+	}
+	x.close()
+	return x.passWhole(ctx, w, data)
+}
+
+// passRest passes on what has been read of a long response, and the rest as it arrives.
+func (x *relay) passRest(ctx context.Context, w carrier.ResponseWriter, data []byte) error {
+	if x.failedByEndpoint() {
 		return x.statusError()
 	}
 	return x.passChunks(ctx, w, data)
