roundtripper: a head that goes on with another head is no response

A worker that stops inside a field of its head and then sends another response on the connection (its server's error page, a late second response) sent one head to the parser: the cut field took the status line of the second as a part of its value, and the framing of the second was that of the first. Callers got a 200, empty and framed as whole, with the worker's own seal if that came before. A value that has a status line in it now fails the response.

--- a/internal/base/roundtripper/connection.go
+++ b/internal/base/roundtripper/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -72,9 +74,17 @@
 	if resp.ProtoMajor != 1 || strings.ContainsFunc(resp.Status, isControl) {
 		return nil, fmt.Errorf("malformed status line %q %q", resp.Proto, resp.Status)
 	}
+	for name, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return nil, fmt.Errorf("the head breaks off in the field %s and another one follows", name)
+		}
+	}
 	return resp, nil
 }
 
+// statusLine matches the beginning of a head. No header field has one in its value.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
 // isControl reports whether a status line must not have a character (RFC 9112, 4).
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
