composer: a node that cannot start leaves no listener open

Runs of TestNodes hung until the limit of Go, some of them beside another run on the same addresses. The dump of one shows the test waiting for the response of a node's readiness page, for which there was no timeout.

Cause: New opens the listeners one after the other and returned at the first that failed, with the earlier ones open. The system accepted connections on them, and nobody served these.

Change: New closes what it has opened before it returns an error.

--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -116,22 +116,52 @@
 	sweepInterval = 2 * time.Second
 )
 
-// New builds a node and opens its listeners.
+// New builds a node and opens its listeners. After an error, none is open.
 func New(s Settings, p Ports, clock timekeeper.Clock, log zerolog.Logger) (*Node, error) {
 	n := &Node{settings: s, ports: p, clock: clock, log: log, memory: reserver.New(s.MemoryBytes, clock), startedAt: clock.Now()}
+	if err := n.build(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+// closeListeners closes the listeners that are open.
+func (n *Node) closeListeners() {
+	var open []net.Listener
+	if n.callers != nil {
+		open = append(open, n.callers)
+	}
+	if n.members.listener != nil {
+		open = append(open, n.members.listener)
+	}
+	if n.operators != nil {
+		open = append(open, n.operators)
+	}
+	for _, x := range n.extraServers {
+		open = append(open, x.listener)
+	}
+	for _, l := range open {
+		_ = l.Close()
+	}
+}
+
+// build opens the listeners and builds the components of a node.
+func (n *Node) build() error {
+	s, p, clock, log := n.settings, n.ports, n.clock, n.log
 	n.config.Rank = keeper.RankConfig
 	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	n.callers = &acceptor.Acceptor{Listener: callers, Clock: clock, Limits: n.callerLimits}
 	if s.OperatorsListen != "" {
 		if n.operators, err = acceptor.Listen(s.OperatorsListen); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err := n.listenPeers(); err != nil {
-		return nil, err
+		return err
 	}
 	n.configs = n.newFollower(p.Config.KeyPrefix, watchTimeout, maxContentAge, n.applyConfig)
 	n.endpoints = n.newFollower(p.EndpointKeyPrefix, watchTimeout, maxContentAge, n.applyEndpoints)
@@ -164,11 +194,11 @@
 		}
 		l, err := acceptor.Listen(address)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		n.addServer(routes(), l)
 	}
-	return n, nil
+	return nil
 }
 
 // addServer adds an HTTP server on a listener.
