dispatcher, composer: a planned stop takes only what can be complete before its end

Change: the dispatcher estimates for each route how long complete requests take (mean and deviation, as RFC 6298 does), and a stop refuses what nearly all requests need more time for, truly not run. The row of the node is deleted while the last responses are written, so running requests go on for 0.2 s longer, into the last sixth.

TestNodes/stop-grace-4, -8 and -12 pass. With a grace below 7.8 s the end still comes before its last sixth, as the time for the handover is fixed.

--- a/internal/node/composer/stop.go
+++ b/internal/node/composer/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -27,9 +29,18 @@
 	if n.settings.StopTimeout == 0 {
 		remaining = n.settings.BalancerDelay + n.Limits().DrainTimeout
 	}
-	n.dispatcher.EndBy(n.clock.Now().Add(max(remaining-finalResponseTime, remaining/2)))
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	n.dispatcher.EndBy(n.clock.Now().Add(remaining))
+	ctx, cancel := context.WithTimeout(context.Background(), remaining+finalResponseTime)
 	defer cancel()
+	// The last responses are written while the row of the node is deleted.
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	running, endRunning := context.WithTimeout(ctx, remaining)
+	defer endRunning()
+	wg.Go(func() {
+		<-running.Done()
+		n.deregister()
+	})
 	// If there is little time, half of it is kept for the requests in flight.
 	_ = n.clock.Sleep(ctx, min(n.settings.BalancerDelay, remaining/2))
 	if err := n.callers.Shutdown(ctx); err != nil {
@@ -38,16 +49,19 @@
 	_ = server.Close()
 }
 
-// leave hands over what the node holds, once it serves no more requests.
-func (n *Node) leave() {
+// deregister deletes the row of the node. Without it the node is no longer a hub, and
+// sends its last counts to the next one.
+func (n *Node) deregister() {
 	n.duties.leaving.Store(true)
 	n.handOver(func(ctx context.Context) {
 		if err := n.members.registrar.Deregister(ctx); err != nil {
 			n.log.Warn().Err(err).Msg("the row of the node stays")
 		}
 	})
-	// Without a row the node is no longer a hub, and sends its last counts to the
-	// next one.
+}
+
+// leave hands over what the node holds, once it serves no more requests.
+func (n *Node) leave() {
 	_ = n.clock.Sleep(context.Background(), finalUpdateDelay)
 	n.handOver(func(ctx context.Context) {
 		if n.components.HandOver != nil {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -172,7 +172,9 @@
 	Nodes func() int
 	// Budgets holds the retry budget of each deployment.
 	Budgets keeper.Table[string, retrier.Bucket]
-	stop    stop
+	// durations has how long complete requests took, by route.
+	durations keeper.Table[string, durations]
+	stop      stop
 }
 
 var (
@@ -216,6 +218,7 @@
 func (d *Dispatcher) Handle(ctx context.Context, job *Job) {
 	result := d.runRecovered(job)
 	countOutcome(result)
+	d.recordDuration(job.request, result)
 	d.countUsage(job.request, result)
 	d.Queue.Done(job, result)
 	job.done <- result
@@ -233,6 +236,15 @@
 	return d.runChecked(job)
 }
 
+// recordDuration records how long a request with a complete response took.
+func (d *Dispatcher) recordDuration(r carrier.Request, result carrier.Result) {
+	if result.Err != nil || !result.Complete {
+		return
+	}
+	took := d.Clock.Now().Sub(r.Arrived)
+	d.durations.Update(r.Route.Name, func(e durations, _ bool) (durations, bool) { return e.With(took), true })
+}
+
 func countOutcome(r carrier.Result) {
 	switch {
 	case r.Err == nil:
--- a/internal/request/dispatcher/stop.go
+++ b/internal/request/dispatcher/stop.go
@@ -19,8 +19,8 @@
 	cancel context.CancelFunc
 }
 
-// A request is expected to need minStopTime, or stopTargets times the latency target of its
-// route if that is longer.
+// A request is expected to need minStopTime, stopTargets times the latency target of its
+// route, or what nearly all requests on its route have taken, whichever is longest.
 const (
 	minStopTime = time.Second
 	stopTargets = 2
@@ -66,7 +66,8 @@
 	if end.IsZero() || !end.Before(r.Deadline) {
 		return r, nil
 	}
-	if left := end.Sub(d.Clock.Now()); left < max(minStopTime, stopTargets*r.Route.LatencyTarget) {
+	taken, _ := d.durations.Get(r.Route.Name)
+	if left := end.Sub(d.Clock.Now()); left < max(minStopTime, stopTargets*r.Route.LatencyTarget, taken.Bound()) {
 		return r, coder.Refuse(coder.ShuttingDown, "the node stops in %v", left.Round(time.Millisecond))
 	}
 	return r.WithDeadline(end), nil
