reserver: without a bound, a body of unknown length takes only its size

Cause: a chunked body of more than 64 KiB was read into a buffer of the largest size that is allowed and copied, also by a node without a memory bound, where nothing has to be reserved. Change: such a node reads it as it did before the reservations. Result: the tests of reserver, of the front ends and of the bodies beyond the memory pass with the race detector; the allocation itself is not measured.

--- a/internal/base/reserver/reserver.go
+++ b/internal/base/reserver/reserver.go
@@ -157,6 +157,10 @@
 		}
 		return readReserved(body, make([]byte, length), held)
 	}
+	if m == nil {
+		data, err := io.ReadAll(body)
+		return finishRead(data, Reservation{}, err)
+	}
 	held, err := m.reserveBody(ctx, ShortBody, wait)
 	if err != nil {
 		return nil, held, err
