--- a/internal/base/logger/logger.go
+++ b/internal/base/logger/logger.go
@@ -33,6 +33,9 @@
 	flushDelay = 100 * time.Millisecond
 )
 
+// TimeFormat is the format of the time of a log line: RFC 3339 with milliseconds.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 var droppedLines = expvar.NewInt("log-lines-left-out")
 
 // Writer buffers lines for a slow output.
--- a/internal/decision/explainer/explainer.go
+++ b/internal/decision/explainer/explainer.go
@@ -57,6 +57,7 @@
 	FieldReused          = "reused-connection"
 	FieldEvents          = "events"
 	FieldOwnPart         = "own-part"
+	FieldSendDelay       = "choice-to-send-ms"
 )
 
 // The kinds of decision.
@@ -66,6 +67,7 @@
 	PrefillFailure = "reading"
 	Attempt        = "attempt"
 	End            = "end"
+	Send           = "send"
 	Roles          = "roles"
 	Fleet          = "fleet"
 )
@@ -151,6 +153,13 @@
 		Str(FieldReason, err.Error()).Msg("prefill failed")
 }
 
+// LogLateSend logs a request that was sent long after the choice of its endpoint, or while
+// the list of endpoints was old.
+func LogLateSend(log zerolog.Logger, requestID, endpoint string, delay, listAge time.Duration) {
+	log.Warn().Str(FieldDecision, Send).Str(FieldRequest, requestID).Str(FieldEndpoint, endpoint).
+		Int64(FieldSendDelay, delay.Milliseconds()).Int64(FieldListAge, listAge.Milliseconds()).Msg("request sent late")
+}
+
 // FailedAttempt describes an attempt that has failed.
 type FailedAttempt struct {
 	Request  string
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -20,6 +20,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/acceptor"
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/lagmeter"
 	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
@@ -52,6 +53,7 @@
 	endpoints    *follower.Follower
 	config       keeper.Cell[loadedConfig]
 	reachability follower.Reachability
+	lag          lagmeter.Meter
 	lister       *lister.Lister
 	observer     *observer.Observer
 	index        *indexer.Index
@@ -150,6 +152,7 @@
 func (n *Node) build() error {
 	s, p, clock, log := n.settings, n.ports, n.clock, n.log
 	n.config.Rank = keeper.RankConfig
+	n.lag.Clock = clock
 	callers, err := acceptor.Listen(s.CallersListen)
 	if err != nil {
 		return err
@@ -375,7 +378,7 @@
 			ListState: n.listState,
 		},
 		Endpoints:  n.observer,
-		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory},
+		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory, ListAge: n.listAge},
 		Queue:      q,
 		Claims:     n.components.Claims,
 		Usage:      n.components.Usage,
@@ -394,6 +397,9 @@
 	return n.dispatcher.Do(ctx, r, w)
 }
 
+// listAge returns how old the list of endpoints is.
+func (n *Node) listAge() time.Duration { return n.endpoints.Snapshot().Age(n.clock.Now()) }
+
 // listState returns the version, age and source of the endpoints' entries.
 func (n *Node) listState() explainer.ListState {
 	s := n.endpoints.Snapshot()
@@ -429,6 +435,7 @@
 	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	var wg conc.WaitGroup
+	wg.Go(func() { n.lag.Run(tasks) })
 	wg.Go(func() { n.configs.Run(tasks) })
 	wg.Go(func() { n.endpoints.Run(tasks) })
 	wg.Go(func() { n.runMembers(tasks) })
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -40,6 +40,8 @@
 	// freshConnection says that a kept connection broke under the request.
 	// Connections tend to break together, so the next attempt opens a new one.
 	freshConnection bool
+	// chosenAt is when the endpoints of the current attempt were chosen.
+	chosenAt time.Time
 	// attempts counts the attempts, failedPrefills the engines that failed to
 	// prefill the prompt.
 	attempts       int
@@ -63,6 +65,7 @@
 			// request.
 			c.progress.NoHandover = true
 		}
+		c.chosenAt = d.Clock.Now()
 		plan := d.Chooser.Choose(r, c.progress)
 		if plan.Prefill.OK && c.prefilled.handle.ID == "" {
 			if !d.prefill(c, plan) {
@@ -203,6 +206,7 @@
 	d.Endpoints.RecordSent(e.ID, work)
 	rep := d.Forwarder.Forward(c.job.ctx, a, c.writer)
 	c.recordSent(e, rep)
+	d.recordDelay(c, e, rep)
 	d.recordAttempt(c, e, work, rep, begun)
 	if c.probablyRan(rep) {
 		d.reportBegun(c)
--- a/internal/request/dispatcher/claimed.go
+++ b/internal/request/dispatcher/claimed.go
@@ -36,7 +36,7 @@
 	if taken.Replayed {
 		return replay(job, taken.Response)
 	}
-	rec := &recorder{writer: job.writer, limit: limits.ReplayLimit}
+	rec := &responseRecorder{writer: job.writer, limit: limits.ReplayLimit}
 	// The API key may have been withdrawn while the claim was taken.
 	var result carrier.Result
 	if result.Err = d.recheck(job); result.Err == nil {
@@ -72,11 +72,11 @@
 	return result
 }
 
-// recorder passes a response on and records it up to a limit.
+// responseRecorder passes a response on and records it up to a limit.
 //
 // It does not fail when the caller disconnects, so that the response is
 // recorded for a repeat.
-type recorder struct {
+type responseRecorder struct {
 	writer    carrier.ResponseWriter
 	limit     int64
 	response  claimer.Response
@@ -84,14 +84,14 @@
 }
 
 // Begin sends and records the status and header.
-func (rec *recorder) Begin(ctx context.Context, h carrier.ResponseHead) error {
+func (rec *responseRecorder) Begin(ctx context.Context, h carrier.ResponseHead) error {
 	rec.response = claimer.Response{Status: h.Status, Header: recordedHeader(h.Header), Recorded: true}
 	rec.callerErr = rec.writer.Begin(ctx, h)
 	return nil
 }
 
 // Write sends and records a chunk of the response.
-func (rec *recorder) Write(ctx context.Context, p []byte) error {
+func (rec *responseRecorder) Write(ctx context.Context, p []byte) error {
 	if rec.response.Recorded {
 		rec.response.Body = slices.Concat(rec.response.Body, p)
 	}
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -49,6 +49,7 @@
 		FetchFrom:     plan.FetchFrom,
 	})
 	c.recordSent(e, rep)
+	d.recordDelay(c, e, rep)
 	c.attempts++
 	err := rep.Attempt.Err()
 	d.Endpoints.RecordDone(e.ID, work, c.classify(err), c.rule)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	Dialect   Dialect
 	// Memory bounds what is held of responses; nil means no bound.
 	Memory *reserver.Memory
+	// ListAge returns how old the list of endpoints is; nil means that it is not known.
+	ListAge func() time.Duration
 }
 
 // Attempt is one attempt at a request.
@@ -175,6 +177,8 @@
 	// received.
 	SentAt time.Time
 	HeadAt time.Time
+	// ListAge is how old the list of endpoints was when sending began.
+	ListAge time.Duration
 }
 
 // Forward makes the attempt and passes the response to w.
@@ -245,6 +249,9 @@
 		Fresh:          a.Resent,
 		OnSend: func() {
 			x.report.SentAt = f.Clock.Now()
+			if f.ListAge != nil {
+				x.report.ListAge = f.ListAge()
+			}
 			x.record(attempter.SendBegan{})
 		},
 		Accept: func(status int, h http.Header, first bool) bool {
