--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -201,7 +201,7 @@
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if address := f.source(); address != "" && !f.probeDue() {
+		if address := f.source(); address != "" && !f.probeDue() && !f.outdated() {
 			f.followNode(ctx, address)
 			continue
 		}
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -39,6 +39,13 @@
 	return address
 }
 
+// outdated reports whether the content is too old to wait for another node while the store
+// may answer. A node that has no content yet waits, as many nodes start at once.
+func (f *Follower) outdated() bool {
+	s := f.snapshot.Get()
+	return s.Loaded() && !s.Unavailable() && s.Age(f.Clock.Now()) >= f.MaxAge
+}
+
 // probeDue reports whether the store is unavailable and due to be tried again.
 func (f *Follower) probeDue() bool {
 	return f.snapshot.Get().Unavailable() && !f.Clock.Now().Before(f.probeAt)
