--- a/internal/base/coder/code.go
+++ b/internal/base/coder/code.go
@@ -55,6 +55,7 @@
 	ConnectionsFull Code = 408
 	PromptSuspected Code = 409
 	MemoryFull      Code = 410
+	ListOutdated    Code = 411
 
 	EndpointUnreachable Code = 501
 	EndpointFailed      Code = 502
--- a/internal/base/lagmeter/lagmeter.go
+++ b/internal/base/lagmeter/lagmeter.go
@@ -18,33 +18,36 @@
 const (
 	// sampleInterval is how often the lateness is measured.
 	sampleInterval = 100 * time.Millisecond
-	// memory is for how long a measured lateness counts at least.
-	memory = 2 * time.Second
+	// maxSamples is the number of measurements that are kept: those of 4 s and more.
+	maxSamples = 40
 )
 
 // Meter measures the lateness of this process; Run measures it.
 type Meter struct {
 	Clock timekeeper.Clock
 
-	lag keeper.Cell[lag]
+	samples keeper.Cell[samples]
 }
 
-// lag has the greatest lateness of the current period and of the one before, each as long
-// as memory. It is an immutable value.
-type lag struct {
-	since           time.Time
-	current, before time.Duration
+// sample is one measurement.
+type sample struct {
+	wokeAt time.Time
+	late   time.Duration
+}
+
+// samples has the last measurements. It is an immutable value.
+type samples struct {
+	ring [maxSamples]sample
+	next int
 	// dueAt is when the measurement in progress ends if the process is not late.
 	dueAt time.Time
 }
 
-// with returns the lag after a measurement.
-func (l lag) with(late time.Duration, now time.Time) lag {
-	if now.Sub(l.since) >= memory {
-		l = lag{since: now, before: l.current}
-	}
-	l.current = max(l.current, late)
-	return l
+// with returns the samples after a measurement.
+func (s samples) with(x sample) samples {
+	s.ring[s.next] = x
+	s.next = (s.next + 1) % maxSamples
+	return s
 }
 
 var delays = recorder.Publish("process-lag-ms")
@@ -53,22 +56,29 @@
 func (m *Meter) Run(ctx context.Context) {
 	for {
 		dueAt := m.Clock.Now().Add(sampleInterval)
-		m.lag.Update(func(l lag) (lag, bool) { l.dueAt = dueAt; return l, true })
+		m.samples.Update(func(s samples) (samples, bool) { s.dueAt = dueAt; return s, true })
 		if m.Clock.Sleep(ctx, sampleInterval) != nil {
 			return
 		}
 		now := m.Clock.Now()
 		late := max(now.Sub(dueAt), 0)
 		delays.Record(late)
-		m.lag.Update(func(l lag) (lag, bool) { return l.with(late, now), true })
+		m.samples.Update(func(s samples) (samples, bool) { return s.with(sample{wokeAt: now, late: late}), true })
 	}
 }
 
-// Lag returns the greatest lateness of the last seconds, two at least and four at most.
-func (m *Meter) Lag() time.Duration {
-	l := m.lag.Get()
-	if l.dueAt.IsZero() {
+// Lag returns the greatest lateness that was measured since a time, as far back as the
+// measurements go, which is about 4 s.
+func (m *Meter) Lag(since time.Time) time.Duration {
+	s := m.samples.Get()
+	if s.dueAt.IsZero() {
 		return 0
 	}
-	return max(l.current, l.before, m.Clock.Now().Sub(l.dueAt))
+	lag := max(m.Clock.Now().Sub(s.dueAt), 0)
+	for _, x := range s.ring {
+		if x.wokeAt.After(since) {
+			lag = max(lag, x.late)
+		}
+	}
+	return lag
 }
--- a/internal/base/lagmeter/lagmeter_test.go
+++ b/internal/base/lagmeter/lagmeter_test.go
@@ -33,7 +33,7 @@
 					d.Fatalf(t, "unknown command %s", d.Cmd)
 				}
 				synctest.Wait()
-				return m.Lag().String() + "\n"
+				return m.Lag(time.Now().Add(-2*time.Second)).String() + "\n"
 			})
 		})
 	})
--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -196,11 +196,14 @@
 		_, err := x.conn.netConn.Write(append(head, req.Body...))
 		return err
 	}
+	// The head goes out before another goroutine starts, as that may be late.
+	if _, err := x.conn.netConn.Write(head); err != nil {
+		return err
+	}
 	x.bodyWriter, x.writeResult = &conc.WaitGroup{}, make(chan error, 1)
 	x.bodyWriter.Go(func() {
-		_, err := x.conn.netConn.Write(head)
+		var err error
 		switch {
-		case err != nil:
 		case req.Stream != nil:
 			err = x.writeStream(req)
 		default:
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -37,6 +37,8 @@
 	// entryRewriteTimeout is how long an endpoint's entry may be missing after an outage
 	// of the platform.
 	entryRewriteTimeout = 2 * time.Second
+	// endpointNotice is within what time a leaving endpoint gets no new requests.
+	endpointNotice = 5 * time.Second
 	// maxReportDelay is how long after its end reports of a usage window are
 	// attempted; its counts are kept in memory for twice as long.
 	maxReportDelay = time.Hour
@@ -67,6 +69,7 @@
 		SeedAddresses:       s.PeerAddresses,
 		BalancerDelay:       s.BalancerDelay,
 		EntryRewriteTimeout: entryRewriteTimeout,
+		EndpointNotice:      endpointNotice,
 		Workers:             s.Workers,
 		MemoryBytes:         s.MemoryBytes,
 		LeaseDuration:       leaseDuration,
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -33,6 +33,7 @@
 	"foxtailflow.example/foxtailflow/internal/fleet/lister"
 	"foxtailflow.example/foxtailflow/internal/fleet/observer"
 	"foxtailflow.example/foxtailflow/internal/fleet/pacer"
+	"foxtailflow.example/foxtailflow/internal/fleet/verifier"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 	"foxtailflow.example/foxtailflow/internal/request/chooser"
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
@@ -54,11 +55,13 @@
 	config       keeper.Cell[loadedConfig]
 	reachability follower.Reachability
 	lag          lagmeter.Meter
+	appliedList  keeper.Cell[appliedList]
 	lister       *lister.Lister
 	observer     *observer.Observer
 	index        *indexer.Index
 	pacer        *pacer.Pacer
 	excluder     *excluder.Excluder
+	verifier     *verifier.Verifier
 	quarantine   *quarantiner.Quarantine
 	harmful      *follower.Follower
 	dispatcher   *dispatcher.Dispatcher
@@ -266,10 +269,23 @@
 // notLoadedRetryAfter is after how long a caller should retry while the node starts.
 const notLoadedRetryAfter = 200 * time.Millisecond
 
-func (n *Node) applyEndpoints(follower.Snapshot) {
-	if err := n.observer.RefreshList(context.Background()); err != nil {
+func (n *Node) applyEndpoints(s follower.Snapshot) {
+	if !n.refreshEndpoints() {
+		return
+	}
+	n.appliedList.Update(func(appliedList) (appliedList, bool) {
+		return appliedList{version: s.ChangedVersion, confirmedAt: s.ConfirmedAt}, true
+	})
+}
+
+// refreshEndpoints applies the list of endpoints to their table, and reports whether that
+// has succeeded.
+func (n *Node) refreshEndpoints() bool {
+	err := n.observer.RefreshList(context.Background())
+	if err != nil {
 		n.log.Error().Err(err).Msg("failed to refresh the endpoints")
 	}
+	return err == nil
 }
 
 // Ready returns why the node accepts no requests, or nil if it accepts them.
@@ -300,9 +316,13 @@
 	return joined && n.harmful.Snapshot().Loaded()
 }
 
-// buildGates builds what holds back requests to endpoints by what these say: of their
-// limits, that they leave, and for how long they want none.
+// buildGates builds what holds back requests to endpoints: by the list, if they leave or the
+// list is too old to tell, and by what they say of their limits, that they leave, and for
+// how long they want none.
 func (n *Node) buildGates() {
+	n.verifier = &verifier.Verifier{
+		Clock: n.clock, Endpoint: n.observer.Table.Get, List: n.verifiedList, NextList: n.nextList, MaxAge: n.settings.maxListAge(),
+	}
 	n.pacer = &pacer.Pacer{
 		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
 		EndpointAt: n.observer.IDAt, OnLimit: n.observer.SetLimit,
@@ -311,7 +331,7 @@
 		Clock: n.clock, Log: n.log, Decode: n.ports.DecodeAnnouncement, OnMark: n.markEndpoint,
 		Listed: func(endpoint string) bool { _, ok := n.observer.Table.Get(endpoint); return ok },
 	}
-	var gates roundtripper.Gates
+	gates := roundtripper.Gates{n.verifier}
 	if n.ports.DecodeAnnouncement != nil {
 		gates = append(gates, n.excluder)
 	}
@@ -319,9 +339,7 @@
 		// Last, since it counts what it admits.
 		gates = append(gates, n.pacer)
 	}
-	if len(gates) > 0 {
-		n.ports.EndpointTransport.Gate = gates
-	}
+	n.ports.EndpointTransport.Gate = gates
 }
 
 // markEndpoint records in the endpoint table what an endpoint has said.
@@ -378,6 +396,7 @@
 			ListState: n.listState,
 		},
 		Endpoints:  n.observer,
+		List:       n.verifier,
 		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory, ListAge: n.listAge},
 		Queue:      q,
 		Claims:     n.components.Claims,
@@ -397,8 +416,36 @@
 	return n.dispatcher.Do(ctx, r, w)
 }
 
-// listAge returns how old the list of endpoints is.
-func (n *Node) listAge() time.Duration { return n.endpoints.Snapshot().Age(n.clock.Now()) }
+// appliedList is what the endpoint table reflects: the version of the list, and when the
+// store confirmed that. It is an immutable value.
+type appliedList struct {
+	version     uint64
+	confirmedAt time.Time
+}
+
+// listAge returns how old the list is that the endpoint table reflects. Content that has
+// arrived and is not applied yet counts for nothing.
+func (n *Node) listAge() time.Duration {
+	s, applied, now := n.endpoints.Snapshot(), n.appliedList.Get(), n.clock.Now()
+	if s.ChangedVersion == applied.version {
+		return s.Age(now)
+	}
+	return now.Sub(applied.confirmedAt)
+}
+
+// verifiedList returns the state of the list for the last check of a request.
+func (n *Node) verifiedList() verifier.ListState {
+	return verifier.ListState{Age: n.listAge(), Unavailable: n.endpoints.Snapshot().Unavailable()}
+}
+
+// nextList returns a channel that is closed when the list may be younger.
+func (n *Node) nextList() <-chan struct{} {
+	applied, next := n.appliedList.Watch()
+	if n.endpoints.Snapshot().ChangedVersion != applied.version {
+		return next
+	}
+	return n.endpoints.Next()
+}
 
 // listState returns the version, age and source of the endpoints' entries.
 func (n *Node) listState() explainer.ListState {
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -65,6 +65,10 @@
 			// request.
 			c.progress.NoHandover = true
 		}
+		if err := d.awaitList(c); err != nil {
+			c.refuse(err)
+			break
+		}
 		c.chosenAt = d.Clock.Now()
 		plan := d.Chooser.Choose(r, c.progress)
 		if plan.Prefill.OK && c.prefilled.handle.ID == "" {
@@ -92,6 +96,14 @@
 	return c.result
 }
 
+// awaitList waits for a list of endpoints that is young enough to choose from.
+func (d *Dispatcher) awaitList(c *execution) error {
+	if d.List == nil {
+		return nil
+	}
+	return d.List.Await(c.job.ctx)
+}
+
 // awaitEndpoint sleeps until an endpoint may accept the request, and reports
 // whether to choose again. It returns false at once if no endpoint may accept
 // it or the request would be late by then, and false if the caller disconnects.
@@ -379,10 +391,10 @@
 }
 
 // heldBack reports whether a request was not sent because of what its endpoint has said
-// before.
+// before, or of what the list says of it by now.
 func heldBack(err error) bool {
 	switch coder.FromError(err).Code() {
-	case coder.EndpointLimited, coder.EndpointLeaving, coder.EndpointPaused:
+	case coder.EndpointLimited, coder.EndpointLeaving, coder.EndpointPaused, coder.ListOutdated:
 		return true
 	}
 	return false
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -44,6 +44,13 @@
 	Choose(r carrier.Request, p carrier.Progress) picker.Plan
 }
 
+// EndpointList tells whether the list of endpoints is young enough to choose from.
+type EndpointList interface {
+	// Await waits a short time until it is, and fails with ListOutdated if it is not by
+	// then.
+	Await(ctx context.Context) error
+}
+
 // Queue holds the jobs queued for a worker.
 type Queue interface {
 	// Add queues a job, or refuses it; a refused job has not run.
@@ -154,6 +161,8 @@
 	Configs   ConfigSource
 	Chooser   Chooser
 	Endpoints Endpoints
+	// List may be nil: then requests are sent on a list of any age.
+	List      EndpointList
 	Forwarder Forwarder
 	Queue     Queue
 	Claims    Claims
--- a/internal/request/dispatcher/held_back_test.go
+++ b/internal/request/dispatcher/held_back_test.go
@@ -44,11 +44,37 @@
 	is.Equal(n.results, []picker.AttemptResult{picker.ResultNone, picker.ResultResponse})
 }
 
+// TestOutdatedList guards against a request that is sent, or waits until its deadline, while
+// the node cannot know which endpoints leave.
+func TestOutdatedList(t *testing.T) {
+	is := is.New(t)
+	n := &leavingNode{outdated: true}
+	q := &openQueue{runner.Queue[*dispatcher.Job]{Limit: 1}}
+	clock := timekeeper.NewFake(time.Unix(1000, 0))
+	d := &dispatcher.Dispatcher{
+		Clock: clock, Log: zerolog.Nop(), Configs: n, Chooser: n, Endpoints: n, Forwarder: n, Queue: q, List: n,
+		Random: func() float64 { return 0.5 },
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	go runner.Pool[*dispatcher.Job]{Workers: 1, Source: q, Handle: d.Handle}.Run(ctx)
+	result := d.Do(ctx, carrier.Request{
+		Route:    definer.Route{Kind: definer.Plain, Deployment: "shop", RetryPolicy: definer.RetryByMethod, Attempts: 1},
+		Method:   "POST",
+		Deadline: clock.Now().Add(time.Minute),
+	}, nil)
+	is.True(coder.Is(result.Err, coder.ListOutdated))
+	is.Equal(coder.FromError(result.Err).Outcome(), coder.NotRun)
+	is.Equal(len(n.sentTo), 0)
+}
+
 // leavingNode is a node with two endpoints, of which the first leaves.
 type leavingNode struct {
 	nopEndpoints
-	sentTo  []string
-	results []picker.AttemptResult
+	// outdated means that the list of endpoints is too old.
+	outdated bool
+	sentTo   []string
+	results  []picker.AttemptResult
 }
 
 // Config returns an empty configuration.
@@ -57,6 +83,14 @@
 // CheckCurrent reports that the configuration is up to date.
 func (*leavingNode) CheckCurrent() error { return nil }
 
+// Await fails if the list of endpoints is too old.
+func (n *leavingNode) Await(context.Context) error {
+	if n.outdated {
+		return coder.Refuse(coder.ListOutdated, "the list is old")
+	}
+	return nil
+}
+
 // Choose returns the first endpoint that was not tried.
 func (*leavingNode) Choose(_ carrier.Request, p carrier.Progress) picker.Plan {
 	id := []string{"e1", "e2"}[len(p.Tried)]
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -198,6 +198,12 @@
 // Snapshot returns the newest content.
 func (f *Follower) Snapshot() Snapshot { return f.snapshot.Get() }
 
+// Next returns a channel that is closed when the content is confirmed or changes.
+func (f *Follower) Next() <-chan struct{} {
+	_, next := f.snapshot.Watch()
+	return next
+}
+
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
