--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -45,7 +45,28 @@
 	// decoded.
 	rows map[string]entry
 	// missing has the endpoints whose entries are missing after an outage.
-	missing map[string]supplier.VM
+	missing map[string]missingVM
+}
+
+// missingVM is an endpoint whose entry is missing, and until when it counts as listed. A
+// later outage does not change that time: it shows nothing of an entry that was missing
+// before.
+type missingVM struct {
+	vm    supplier.VM
+	until time.Time
+}
+
+// withoutOverdue returns the list without the endpoints whose time to write their entries
+// again is over.
+func (l list) withoutOverdue(now time.Time) list {
+	missing := make(map[string]missingVM, len(l.missing))
+	for id, m := range l.missing {
+		if now.Before(m.until) {
+			missing[id] = m
+		}
+	}
+	l.missing = missing
+	return l
 }
 
 // entry is the result of decoding a row at a version.
@@ -68,16 +89,15 @@
 		if s.ChangedVersion != before.changed || s.Loaded() != before.loaded {
 			out = l.decodeChanged(before, s, now)
 		}
-		if now.Sub(s.OutageEndedAt) >= l.RewriteTimeout {
-			out.missing = nil
-		}
+		out = out.withoutOverdue(now)
 		return out, true
 	})
 	vms := make([]supplier.VM, 0, len(out.vms)+len(out.missing))
-	for _, group := range []map[string]supplier.VM{out.vms, out.missing} {
-		for _, vm := range group {
-			vms = append(vms, vm)
-		}
+	for _, vm := range out.vms {
+		vms = append(vms, vm)
+	}
+	for _, m := range out.missing {
+		vms = append(vms, m.vm)
 	}
 	return vms, s.Age(now), nil
 }
@@ -87,7 +107,7 @@
 func (l *Lister) decodeChanged(before list, s follower.Snapshot, now time.Time) list {
 	out := list{
 		changed: s.ChangedVersion, loaded: s.Loaded(), vms: make(map[string]supplier.VM),
-		rows: make(map[string]entry), missing: make(map[string]supplier.VM),
+		rows: make(map[string]entry), missing: make(map[string]missingVM),
 	}
 	for _, row := range s.Rows() {
 		e, ok := before.rows[row.Key]
@@ -108,17 +128,21 @@
 		}
 		out.vms[vm.ID] = vm
 	}
-	for _, group := range []map[string]supplier.VM{before.vms, before.missing} {
-		for id, vm := range group {
-			if _, ok := out.vms[id]; ok {
-				continue
-			}
-			mayHaveExpired := now.Sub(s.OutageEndedAt) < l.RewriteTimeout
-			if mayHaveExpired {
-				out.missing[id] = vm
-			}
-			l.Log.Info().Str("endpoint", id).Bool("may-have-lapsed", mayHaveExpired).Uint64("version", s.ChangedVersion).Msg("endpoint no longer listed")
+	for id, m := range before.missing {
+		if _, ok := out.vms[id]; !ok {
+			out.missing[id] = m
+		}
+	}
+	until := s.OutageEndedAt.Add(l.RewriteTimeout)
+	for id, vm := range before.vms {
+		if _, ok := out.vms[id]; ok {
+			continue
+		}
+		mayHaveExpired := now.Before(until)
+		if mayHaveExpired {
+			out.missing[id] = missingVM{vm: vm, until: until}
 		}
+		l.Log.Info().Str("endpoint", id).Bool("may-have-lapsed", mayHaveExpired).Uint64("version", s.ChangedVersion).Msg("endpoint no longer listed")
 	}
 	return out
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -219,6 +219,7 @@
 		OnAvailable: n.storeAvailable,
 		Clock:       n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Reachability: &n.reachability, Relay: n.relay(),
 		WatchTimeout: watchTimeout, MaxAge: maxAge, RefreshInterval: refreshInterval, RetryDelay: watchRetryDelay, OnChange: apply,
+		Lag: n.lag.Lag,
 	}
 }
 
@@ -276,6 +277,10 @@
 	n.appliedList.Update(func(appliedList) (appliedList, bool) {
 		return appliedList{version: s.ChangedVersion, confirmedAt: s.ConfirmedAt}, true
 	})
+	if left := n.settings.EntryRewriteTimeout - n.clock.Now().Sub(s.OutageEndedAt); left > 0 {
+		// Entries that are missing until then are dropped at once.
+		n.clock.AfterFunc(left, func() { n.refreshEndpoints() })
+	}
 }
 
 // refreshEndpoints applies the list of endpoints to their table, and reports whether that
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -54,6 +54,10 @@
 	// reached the store for so long that rows may have expired; zero while that
 	// has not happened.
 	OutageEndedAt time.Time
+	// SharedOutageAt is when another node last said that its content is too old, too.
+	SharedOutageAt time.Time
+	// Alone means that there was no other node to ask when the store became unavailable.
+	Alone bool
 }
 
 // NewSnapshot returns a snapshot of rows at a version.
@@ -66,9 +70,14 @@
 const minExpiryOutage = 2 * time.Second
 
 // withConfirmed returns a snapshot whose content the store confirmed at a time.
+//
+// Rows expire if the store is unavailable to their writers, too. A node that was cut off,
+// suspended or late by itself hears nothing of an outage from other nodes, and the rows that
+// it finds missing were deleted.
 func (s Snapshot) withConfirmed(at, now time.Time) Snapshot {
 	outage := min(at.Sub(s.ConfirmedAt), at.Sub(s.ReachableAt))
-	if s.Unavailable() && s.Loaded() && outage >= minExpiryOutage {
+	shared := s.Alone || s.SharedOutageAt.After(s.ConfirmedAt)
+	if s.Unavailable() && s.Loaded() && shared && outage >= minExpiryOutage {
 		s.OutageEndedAt = now
 	}
 	if at.After(s.ConfirmedAt) {
@@ -174,6 +183,8 @@
 	Reachability *Reachability
 	// Relay may be nil.
 	Relay Relay
+	// Lag returns how late this process has run since a time; nil means never late.
+	Lag func(since time.Time) time.Duration
 	// OnClock is called with each reading of the store's clock; it may be nil.
 	OnClock func(time.Duration)
 	// OnAvailable is called when the store becomes available again; it may be nil.
@@ -211,8 +222,9 @@
 			f.followNode(ctx, address)
 			continue
 		}
+		began := f.Clock.Now()
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			f.handleFailure(ctx, err)
+			f.handleFailure(ctx, err, began)
 		}
 		if f.changed && f.ChangeDelay > 0 {
 			f.changed = false
@@ -323,14 +335,28 @@
 	}
 }
 
-// handleFailure records that the store is unavailable, and waits until the retry.
-func (f *Follower) handleFailure(ctx context.Context, err error) {
+// maxCallLag is how late this process may run during a call to the store that fails for the
+// failure to count as one of the store. It is less than the shortest timeout of a call, that
+// for opening its connection.
+const maxCallLag = 300 * time.Millisecond
+
+// handleFailure records that the store is unavailable, and waits until the retry. A call
+// that began at a time and failed while this process was late shows nothing of the store,
+// whose response may have come in time.
+func (f *Follower) handleFailure(ctx context.Context, err error, began time.Time) {
 	now := f.Clock.Now()
+	if lag := f.lag(began); lag >= maxCallLag {
+		f.Log.Warn().Str("table", f.Prefix).Dur("lag-ms", lag).Err(err).Msg("call to the store failed while this node was late")
+		f.lastRead = time.Time{}
+		_ = f.Clock.Sleep(ctx, f.RetryDelay)
+		return
+	}
 	f.update(func(s Snapshot) Snapshot {
 		if !s.Unavailable() {
 			s.ReachableAt = f.Reachability.reachableAt(s.ConfirmedAt)
 			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store unavailable")
 			s.UnavailableSince = now
+			s.Alone = f.Relay == nil || f.Relay.Source(true) == ""
 			if s.AvailableSince.Equal(now) {
 				s.UnavailableSince = now.Add(1)
 			}
@@ -346,6 +372,14 @@
 	f.waitToRetry(ctx)
 }
 
+// lag returns how late this process has run since a time.
+func (f *Follower) lag(since time.Time) time.Duration {
+	if f.Lag == nil {
+		return 0
+	}
+	return f.Lag(since)
+}
+
 const (
 	// maxRetryDelay bounds the delay between two attempts to reach an unavailable
 	// store; as all nodes retry, a short delay costs hundreds of calls a second.
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -88,6 +88,8 @@
 	failed int
 	// lag is how late the node gets the content that another node sends.
 	lag time.Duration
+	// late is how late the process of the node runs.
+	late time.Duration
 }
 
 // set changes the faults and the source of the node.
@@ -132,6 +134,8 @@
 		c.store.set(func(*fakeStore) {})
 	case "lag":
 		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.lag = duration(t, d.CmdArgs[1].Key) })
+	case "late":
+		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.late = duration(t, d.CmdArgs[1].Key) })
 	case "source":
 		source := ""
 		if len(d.CmdArgs) > 1 {
@@ -200,6 +204,7 @@
 	n.follower = &follower.Follower{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Reachability: n.reachability, Relay: n,
 		WatchTimeout: wait, MaxAge: 1200 * time.Millisecond, RefreshInterval: 30 * time.Second, RetryDelay: 250 * time.Millisecond,
+		Lag: n.lateness,
 	}
 	if gap {
 		n.follower.ChangeDelay = 200 * time.Millisecond
@@ -221,6 +226,13 @@
 	return n.cluster.other(n.name)
 }
 
+// lateness returns how late the process of the node runs.
+func (n *node) lateness(time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.late
+}
+
 // MarkFailed counts failed sources.
 func (n *node) MarkFailed(string) {
 	n.mu.Lock()
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -51,6 +51,15 @@
 	return f.snapshot.Get().Unavailable() && !f.Clock.Now().Before(f.probeAt)
 }
 
+// probeTimer returns a channel that receives when a store that is unavailable is due to be
+// tried again; nil if it is available.
+func (f *Follower) probeTimer() <-chan time.Time {
+	if !f.snapshot.Get().Unavailable() {
+		return nil
+	}
+	return f.Clock.After(f.probeAt.Sub(f.Clock.Now()))
+}
+
 // followNode follows the table from a node until that fails, the source changes or
 // the store is due to be probed.
 func (f *Follower) followNode(ctx context.Context, address string) {
@@ -77,6 +86,7 @@
 	// The clocks of two nodes drift apart, so the table is requested again at times.
 	renewal := f.Clock.After(f.RefreshInterval)
 	for {
+		probe := f.probeTimer()
 		select {
 		case c, ok := <-contents:
 			if !ok {
@@ -96,6 +106,8 @@
 		case <-f.Clock.After(f.sourceLimit()):
 			f.dropSource(address, "no current content within the timeout", nil)
 			return
+		case <-probe:
+			return
 		case <-renewal:
 			return
 		case <-ctx.Done():
@@ -134,6 +146,9 @@
 	f.update(func(s Snapshot) Snapshot {
 		s = s.withConfirmed(confirmed, now)
 		s.Source = address
+		if c.Age >= f.MaxAge {
+			s.SharedOutageAt = now
+		}
 		if resumed := now.Add(-c.SinceOutage); c.SinceOutage > 0 && resumed.After(s.OutageEndedAt) {
 			s.OutageEndedAt = resumed
 		}
