--- a/internal/fleet/verifier/verifier.go
+++ b/internal/fleet/verifier/verifier.go
@@ -80,16 +80,16 @@
 // Await waits until the list is young enough to choose from. It fails with ListOutdated if
 // that takes too long.
 func (v *Verifier) Await(ctx context.Context) error {
-	var timeout <-chan time.Time
-	for {
+	if v.check() == nil {
+		return nil
+	}
+	for timeout := v.Clock.After(maxWait); ; {
+		// Taken before the check, so that no news is missed.
 		next := v.NextList()
 		err := v.check()
 		if err == nil {
 			return nil
 		}
-		if timeout == nil {
-			timeout = v.Clock.After(maxWait)
-		}
 		select {
 		case <-next:
 		case <-timeout:
