--- a/internal/fleet/verifier/verifier_test.go
+++ b/internal/fleet/verifier/verifier_test.go
@@ -41,7 +41,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]picker.Endpoint
-	list      verifier.ListState
+	list      verifier.State
 	next      chan struct{}
 	// whileDialling runs while the next connection is opened.
 	whileDialling func()
@@ -55,7 +55,9 @@
 	}))
 	t.Cleanup(server.Close)
 	h.address = server.Listener.Addr().String()
-	h.verifier = &verifier.Verifier{Clock: h.clock, MaxAge: 2700 * time.Millisecond, Endpoint: h.endpoint, List: h.listState, NextList: h.nextList}
+	h.verifier = &verifier.Verifier{Endpoint: h.endpoint, List: verifier.Freshness{
+		Clock: h.clock, MaxAge: 2700 * time.Millisecond, State: h.listState, Next: h.nextList, Code: coder.ListOutdated,
+	}}
 	h.transport = &roundtripper.Transport{Clock: h.clock, Gate: h.verifier, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		if h.whileDialling != nil {
 			h.whileDialling()
@@ -72,7 +74,7 @@
 	return e, ok
 }
 
-func (h *harness) listState() verifier.ListState {
+func (h *harness) listState() verifier.State {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.list
@@ -107,7 +109,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.set(func() { h.list = verifier.ListState{Age: span, Unavailable: d.HasArg("store-away")} })
+		h.set(func() { h.list = verifier.State{Age: span, Unavailable: d.HasArg("store-away")} })
 	default:
 		return false
 	}
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -55,21 +55,24 @@
 	config       keeper.Cell[loadedConfig]
 	reachability follower.Reachability
 	lag          lagmeter.Meter
-	appliedList  keeper.Cell[appliedList]
-	lister       *lister.Lister
-	observer     *observer.Observer
-	index        *indexer.Index
-	pacer        *pacer.Pacer
-	excluder     *excluder.Excluder
-	verifier     *verifier.Verifier
-	quarantine   *quarantiner.Quarantine
-	harmful      *follower.Follower
-	dispatcher   *dispatcher.Dispatcher
-	members      members
-	duties       duties
-	components   Components
-	startedAt    time.Time
-	stopping     atomic.Bool
+	// appliedConfig and appliedList are what the configuration in force and the endpoint
+	// table reflect of their tables.
+	appliedConfig appliedTable
+	appliedList   appliedTable
+	lister        *lister.Lister
+	observer      *observer.Observer
+	index         *indexer.Index
+	pacer         *pacer.Pacer
+	excluder      *excluder.Excluder
+	verifier      *verifier.Verifier
+	quarantine    *quarantiner.Quarantine
+	harmful       *follower.Follower
+	dispatcher    *dispatcher.Dispatcher
+	members       members
+	duties        duties
+	components    Components
+	startedAt     time.Time
+	stopping      atomic.Bool
 
 	callers   *acceptor.Acceptor
 	operators net.Listener
@@ -172,6 +175,7 @@
 	n.configs = n.newFollower(p.Config.KeyPrefix, watchTimeout, maxContentAge, n.applyConfig)
 	n.endpoints = n.newFollower(p.EndpointKeyPrefix, watchTimeout, maxContentAge, n.applyEndpoints)
 	n.endpoints.ChangeDelay = endpointChangeDelay
+	n.appliedConfig.follower, n.appliedList.follower = n.configs, n.endpoints
 	n.lister = &lister.Lister{Clock: clock, Log: log, Snapshot: n.endpoints.Snapshot, Decode: p.DecodeEndpoint, RewriteTimeout: s.EntryRewriteTimeout}
 	n.observer = &observer.Observer{
 		Clock: clock,
@@ -233,8 +237,17 @@
 // decoder depends on.
 func (n *Node) ReloadConfig() { n.updateConfig(n.configs.Snapshot(), true) }
 
+// AwaitConfig waits until the configuration in force is young enough to serve a request by.
+// It fails with ViewNotCurrent if that takes too long.
+func (n *Node) AwaitConfig(ctx context.Context) error {
+	return n.freshness(&n.appliedConfig, n.settings.ConfigNotice, coder.ViewNotCurrent).Await(ctx)
+}
+
 // applyConfig brings a new configuration into force.
-func (n *Node) applyConfig(s follower.Snapshot) { n.updateConfig(s, false) }
+func (n *Node) applyConfig(s follower.Snapshot) {
+	n.updateConfig(s, false)
+	n.appliedConfig.set(s)
+}
 
 // updateConfig brings the configuration of a snapshot into force if it is newer, or
 // with force also if it has the same version.
@@ -274,9 +287,7 @@
 	if !n.refreshEndpoints() {
 		return
 	}
-	n.appliedList.Update(func(appliedList) (appliedList, bool) {
-		return appliedList{version: s.ChangedVersion, confirmedAt: s.ConfirmedAt}, true
-	})
+	n.appliedList.set(s)
 	if left := n.settings.EntryRewriteTimeout - n.clock.Now().Sub(s.OutageEndedAt); left > 0 {
 		// Entries that are missing until then are dropped at once.
 		n.clock.AfterFunc(left, func() { n.refreshEndpoints() })
@@ -326,7 +337,8 @@
 // how long they want none.
 func (n *Node) buildGates() {
 	n.verifier = &verifier.Verifier{
-		Clock: n.clock, Endpoint: n.observer.Table.Get, List: n.verifiedList, NextList: n.nextList, MaxAge: n.settings.maxListAge(),
+		Endpoint: n.observer.Table.Get,
+		List:     n.freshness(&n.appliedList, n.settings.EndpointNotice, coder.ListOutdated),
 	}
 	n.pacer = &pacer.Pacer{
 		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
@@ -402,7 +414,7 @@
 		},
 		Endpoints:  n.observer,
 		List:       n.verifier,
-		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory, ListAge: n.listAge},
+		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory, ListAge: func() time.Duration { return n.appliedList.age(n.clock.Now()) }},
 		Queue:      q,
 		Claims:     n.components.Claims,
 		Usage:      n.components.Usage,
@@ -421,37 +433,6 @@
 	return n.dispatcher.Do(ctx, r, w)
 }
 
-// appliedList is what the endpoint table reflects: the version of the list, and when the
-// store confirmed that. It is an immutable value.
-type appliedList struct {
-	version     uint64
-	confirmedAt time.Time
-}
-
-// listAge returns how old the list is that the endpoint table reflects. Content that has
-// arrived and is not applied yet counts for nothing.
-func (n *Node) listAge() time.Duration {
-	s, applied, now := n.endpoints.Snapshot(), n.appliedList.Get(), n.clock.Now()
-	if s.ChangedVersion == applied.version {
-		return s.Age(now)
-	}
-	return now.Sub(applied.confirmedAt)
-}
-
-// verifiedList returns the state of the list for the last check of a request.
-func (n *Node) verifiedList() verifier.ListState {
-	return verifier.ListState{Age: n.listAge(), Unavailable: n.endpoints.Snapshot().Unavailable()}
-}
-
-// nextList returns a channel that is closed when the list may be younger.
-func (n *Node) nextList() <-chan struct{} {
-	applied, next := n.appliedList.Watch()
-	if n.endpoints.Snapshot().ChangedVersion != applied.version {
-		return next
-	}
-	return n.endpoints.Next()
-}
-
 // listState returns the version, age and source of the endpoints' entries.
 func (n *Node) listState() explainer.ListState {
 	s := n.endpoints.Snapshot()
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -51,6 +51,9 @@
 	// EndpointNotice is how long an endpoint takes requests after the store has accepted
 	// that it leaves; 0 means that it has no bound.
 	EndpointNotice time.Duration
+	// ConfigNotice is within what time after its acceptance a configuration is in force;
+	// 0 means without a bound.
+	ConfigNotice time.Duration
 	// Workers is the number of requests that are processed at once.
 	Workers int
 	// MemoryBytes is the memory that the process may use; 0 means that there is no bound.
@@ -70,18 +73,6 @@
 	StaleAfter time.Duration
 }
 
-// sendTime covers the time from the last check of a request to its arrival: writing it, and
-// the queues of the links.
-const sendTime = 300 * time.Millisecond
-
-// maxListAge returns the greatest age of the list of endpoints on which requests are sent.
-func (s Settings) maxListAge() time.Duration {
-	if s.EndpointNotice <= 0 {
-		return 0
-	}
-	return max(s.EndpointNotice-sendTime, maxContentAge)
-}
-
 // Configuration defines where the configuration is stored and how it is decoded.
 type Configuration struct {
 	// KeyPrefix is the key prefix of the rows of the configuration.
