--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -22,7 +22,6 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/base/lagmeter"
 	"foxtailflow.example/foxtailflow/internal/base/reserver"
-	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
@@ -332,52 +331,6 @@
 	return joined && n.harmful.Snapshot().Loaded()
 }
 
-// buildGates builds what holds back requests to endpoints: by the list, if they leave or the
-// list is too old to tell, and by what they say of their limits, that they leave, and for
-// how long they want none.
-func (n *Node) buildGates() {
-	n.verifier = &verifier.Verifier{
-		Endpoint: n.observer.Table.Get,
-		List:     n.freshness(&n.appliedList, n.settings.EndpointNotice, coder.ListOutdated),
-	}
-	n.pacer = &pacer.Pacer{
-		Clock: n.clock, Log: n.log, Node: n.settings.ID, Nodes: n.nodeNames, Decode: n.ports.DecodeRateLimit,
-		EndpointAt: n.observer.IDAt, OnLimit: n.observer.SetLimit,
-	}
-	n.excluder = &excluder.Excluder{
-		Clock: n.clock, Log: n.log, Decode: n.ports.DecodeAnnouncement, OnMark: n.markEndpoint,
-		Listed: func(endpoint string) bool { _, ok := n.observer.Table.Get(endpoint); return ok },
-	}
-	gates := roundtripper.Gates{n.verifier}
-	if n.ports.DecodeAnnouncement != nil {
-		gates = append(gates, n.excluder)
-	}
-	if n.ports.DecodeRateLimit != nil {
-		// Last, since it counts what it admits.
-		gates = append(gates, n.pacer)
-	}
-	n.ports.EndpointTransport.Gate = gates
-}
-
-// markEndpoint records in the endpoint table what an endpoint has said.
-func (n *Node) markEndpoint(endpoint string, m excluder.Mark) {
-	if m.Leaving {
-		n.observer.SetAnnounced(endpoint)
-	}
-	n.observer.SetPauseRequested(endpoint, m.PausedUntil)
-}
-
-// nodeNames returns the names of all nodes that may send requests: those with rows, and
-// this one.
-func (n *Node) nodeNames() []string {
-	names := []string{n.settings.ID}
-	for _, node := range n.members.registrar.Nodes() {
-		names = append(names, node.ID)
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
 // buildQuarantine builds what keeps prompts that crash endpoints away from them.
 func (n *Node) buildQuarantine() {
 	q := quarantiner.New()
@@ -412,9 +365,12 @@
 			Observer: n.observer, Index: n.index, NotifyPrefixes: n.recordPrefixes, Limits: n.Limits, Config: n.Config,
 			ListState: n.listState,
 		},
-		Endpoints:  n.observer,
-		List:       n.verifier,
-		Forwarder:  forwarder.Forwarder{Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory, ListAge: func() time.Duration { return n.appliedList.age(n.clock.Now()) }},
+		Endpoints: n.observer,
+		List:      n.verifier,
+		Forwarder: forwarder.Forwarder{
+			Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory,
+			ListAge: func() time.Duration { return n.appliedList.age(n.clock.Now()) },
+		},
 		Queue:      q,
 		Claims:     n.components.Claims,
 		Usage:      n.components.Usage,
