--- a/internal/fleet/verifier/freshness.go
+++ b/internal/fleet/verifier/freshness.go
@@ -12,9 +12,9 @@
 type State struct {
 	// Age is the time since the store confirmed the copy.
 	Age time.Duration
-	// Unavailable means that the store answers no calls of this node: a node that waited
-	// for a newer copy would serve nobody in an outage.
-	Unavailable bool
+	// InOutage means that the store answers nobody. Then nothing is acknowledged, and a node
+	// that waited for a newer copy would refuse all requests.
+	InOutage bool
 }
 
 // Freshness tells whether a copy of a table is young enough to act on.
@@ -24,8 +24,8 @@
 	State func() State
 	// Next returns a channel that is closed when the copy is confirmed or changes.
 	Next func() <-chan struct{}
-	// MaxAge is the greatest age on which requests are served while the store is
-	// available; 0 means no bound.
+	// MaxAge is the greatest age on which requests are served, but for an outage of the
+	// store; 0 means no bound.
 	MaxAge time.Duration
 	// Code is the result code of an outdated copy.
 	Code coder.Code
@@ -45,7 +45,7 @@
 		return nil
 	}
 	s := f.State()
-	if s.Age <= f.MaxAge || s.Unavailable {
+	if s.Age <= f.MaxAge || s.InOutage {
 		return nil
 	}
 	return coder.Refuse(f.Code, "the node is late: what it knows is %v old", s.Age.Round(time.Millisecond)).WithRetryAfter(retryAfter)
--- a/internal/fleet/verifier/verifier_test.go
+++ b/internal/fleet/verifier/verifier_test.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.set(func() { h.list = verifier.State{Age: span, Unavailable: d.HasArg("store-away")} })
+		h.set(func() { h.list = verifier.State{Age: span, InOutage: d.HasArg("outage")} })
 	default:
 		return false
 	}
--- a/internal/node/composer/applied.go
+++ b/internal/node/composer/applied.go
@@ -63,7 +63,8 @@
 	return verifier.Freshness{
 		Clock: n.clock, Next: t.next, MaxAge: maxAge, Code: code,
 		State: func() verifier.State {
-			return verifier.State{Age: t.age(n.clock.Now()), Unavailable: t.follower.Snapshot().Unavailable()}
+			s := t.follower.Snapshot()
+			return verifier.State{Age: t.age(n.clock.Now()), InOutage: s.InOutage() || s.Unavailable() && n.unavailableToMost()}
 		},
 	}
 }
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -222,7 +222,7 @@
 		OnAvailable: n.storeAvailable,
 		Clock:       n.clock, Log: n.log, Feed: n.ports.Feed, Prefix: prefix, Reachability: &n.reachability, Relay: n.relay(),
 		WatchTimeout: watchTimeout, MaxAge: maxAge, RefreshInterval: refreshInterval, RetryDelay: watchRetryDelay, OnChange: apply,
-		Lag: n.lag.Lag,
+		Lag: n.lag.Lag, UnavailableToMost: n.unavailableToMost,
 	}
 }
 
--- a/internal/node/composer/freshness.go
+++ b/internal/node/composer/freshness.go
@@ -25,9 +25,9 @@
 		if n.isListed() && !n.duties.leaving.Load() {
 			w.Configs = []courier.ConfigNodes{{Version: n.config.Get().config.Version(), Nodes: 1}}
 		}
-		if n.configs.Snapshot().Unavailable() {
-			w.StoreUnavailable = 1
-		}
+	}
+	if n.StoreUnavailable() {
+		w.StoreUnavailable = 1
 	}
 	return w
 }
@@ -116,9 +116,15 @@
 			return false
 		}
 	}
+	return n.unavailableToMost()
+}
+
+// unavailableToMost reports whether the store is unavailable to most nodes, if it is to this
+// one.
+func (n *Node) unavailableToMost() bool {
 	c := n.members.collector
 	nodes := max(c.NodeCount(), len(n.Nodes())+c.Unlisted(n.members.nodes.Snapshot().ConfirmedAt))
-	return 2*(others.StoreUnavailable+1) > nodes
+	return 2*(n.RemoteWork().StoreUnavailable+1) > nodes
 }
 
 // ConfigVersions returns the configuration versions in force on this node and
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -54,10 +54,9 @@
 	// reached the store for so long that rows may have expired; zero while that
 	// has not happened.
 	OutageEndedAt time.Time
-	// SharedOutageAt is when another node last said that its content is too old, too.
+	// SharedOutageAt is when other nodes last showed that the store does not answer them
+	// either.
 	SharedOutageAt time.Time
-	// Alone means that there was no other node to ask when the store became unavailable.
-	Alone bool
 }
 
 // NewSnapshot returns a snapshot of rows at a version.
@@ -69,15 +68,18 @@
 // they are written every 1.2 s and expire after three times as long.
 const minExpiryOutage = 2 * time.Second
 
-// withConfirmed returns a snapshot whose content the store confirmed at a time.
-//
-// Rows expire if the store is unavailable to their writers, too. A node that was cut off,
-// suspended or late by itself hears nothing of an outage from other nodes, and the rows that
-// it finds missing were deleted.
+// InOutage reports whether the store is unavailable to this node and, by what it has heard
+// from them, to others. A node that is cut off, suspended or late by itself hears nothing of
+// an outage: changes go on without it.
+func (s Snapshot) InOutage() bool {
+	return s.Unavailable() && !s.SharedOutageAt.IsZero() && !s.SharedOutageAt.Before(s.ConfirmedAt)
+}
+
+// withConfirmed returns a snapshot whose content the store confirmed at a time. Rows that are
+// missing after an outage may have expired, as their writers did not reach the store either.
 func (s Snapshot) withConfirmed(at, now time.Time) Snapshot {
 	outage := min(at.Sub(s.ConfirmedAt), at.Sub(s.ReachableAt))
-	shared := s.Alone || s.SharedOutageAt.After(s.ConfirmedAt)
-	if s.Unavailable() && s.Loaded() && shared && outage >= minExpiryOutage {
+	if s.InOutage() && s.Loaded() && outage >= minExpiryOutage {
 		s.OutageEndedAt = now
 	}
 	if at.After(s.ConfirmedAt) {
@@ -183,6 +185,9 @@
 	Reachability *Reachability
 	// Relay may be nil.
 	Relay Relay
+	// UnavailableToMost reports whether the store is unavailable to most nodes, this one
+	// included; nil means that there are no others.
+	UnavailableToMost func() bool
 	// Lag returns how late this process has run since a time; nil means never late.
 	Lag func(since time.Time) time.Duration
 	// OnClock is called with each reading of the store's clock; it may be nil.
@@ -300,8 +305,10 @@
 	recovered := f.snapshot.Get().Unavailable()
 	f.failures = 0
 	f.Reachability.recordResponse(now)
+	shared := recovered && f.othersAway()
 	f.update(func(s Snapshot) Snapshot {
 		unavailable := s.Unavailable()
+		s = s.withShared(shared, now)
 		s = s.withConfirmed(earlier(confirmed, now), now)
 		s.Source = ""
 		s.RequestedAt = asked
@@ -351,17 +358,17 @@
 		_ = f.Clock.Sleep(ctx, f.RetryDelay)
 		return
 	}
+	shared := f.othersAway()
 	f.update(func(s Snapshot) Snapshot {
 		if !s.Unavailable() {
 			s.ReachableAt = f.Reachability.reachableAt(s.ConfirmedAt)
 			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store unavailable")
 			s.UnavailableSince = now
-			s.Alone = f.Relay == nil || f.Relay.Source(true) == ""
 			if s.AvailableSince.Equal(now) {
 				s.UnavailableSince = now.Add(1)
 			}
 		}
-		return s
+		return s.withShared(shared, now)
 	})
 	if coder.FromError(err).Code() == coder.PlatformUnavailable {
 		f.Reachability.recordFailure(now)
@@ -372,6 +379,21 @@
 	f.waitToRetry(ctx)
 }
 
+// othersAway reports whether the store is unavailable to the other nodes, too. It is not
+// called while the snapshot is being updated, as it reads those of other followers.
+func (f *Follower) othersAway() bool {
+	return f.UnavailableToMost == nil || f.UnavailableToMost()
+}
+
+// withShared returns a snapshot that records that the store is unavailable to the other
+// nodes, too, if it is to this one.
+func (s Snapshot) withShared(shared bool, now time.Time) Snapshot {
+	if shared && s.Unavailable() {
+		s.SharedOutageAt = now
+	}
+	return s
+}
+
 // lag returns how late this process has run since a time.
 func (f *Follower) lag(since time.Time) time.Duration {
 	if f.Lag == nil {
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -188,6 +188,9 @@
 		if s.Unavailable() {
 			out.WriteString(" away")
 		}
+		if s.Unavailable() && !s.InOutage() {
+			out.WriteString(", others not")
+		}
 		if !s.AvailableSince.IsZero() && !s.Unavailable() {
 			_, _ = fmt.Fprintf(&out, " back %v ago", time.Since(s.AvailableSince).Round(100*time.Millisecond))
 		}
@@ -204,7 +207,7 @@
 	n.follower = &follower.Follower{
 		Clock: timekeeper.System{}, Log: zerolog.Nop(), Feed: n, Prefix: "t/", Reachability: n.reachability, Relay: n,
 		WatchTimeout: wait, MaxAge: 1200 * time.Millisecond, RefreshInterval: 30 * time.Second, RetryDelay: 250 * time.Millisecond,
-		Lag: n.lateness,
+		Lag: n.lateness, UnavailableToMost: n.unavailableToMost,
 	}
 	if gap {
 		n.follower.ChangeDelay = 200 * time.Millisecond
@@ -226,6 +229,34 @@
 	return n.cluster.other(n.name)
 }
 
+// unavailableToMost reports whether the store is unavailable to most nodes of the cluster, as
+// far as this one hears from them.
+func (n *node) unavailableToMost() bool {
+	c := n.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n.mu.Lock()
+	deaf, alone := n.lag > 0, n.noSource
+	n.mu.Unlock()
+	if alone {
+		return true
+	}
+	// Followers with one reachability are of one process.
+	processes := map[*follower.Reachability]bool{n.reachability: true}
+	for _, other := range c.nodes {
+		if other.reachability != n.reachability {
+			processes[other.reachability] = !deaf && other.follower.Snapshot().Unavailable()
+		}
+	}
+	away := 0
+	for _, unavailable := range processes {
+		if unavailable {
+			away++
+		}
+	}
+	return 2*away > len(processes)
+}
+
 // lateness returns how late the process of the node runs.
 func (n *node) lateness(time.Time) time.Duration {
 	n.mu.Lock()
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -147,6 +147,7 @@
 		s = s.withConfirmed(confirmed, now)
 		s.Source = address
 		if c.Age >= f.MaxAge {
+			// The other node has heard nothing of the store for as long.
 			s.SharedOutageAt = now
 		}
 		if resumed := now.Add(-c.SinceOutage); c.SinceOutage > 0 && resumed.After(s.OutageEndedAt) {
