--- a/internal/request/dispatcher/held_back_test.go
+++ b/internal/request/dispatcher/held_back_test.go
@@ -24,21 +24,7 @@
 func TestHeldBackAttempt(t *testing.T) {
 	is := is.New(t)
 	n := &leavingNode{}
-	q := &openQueue{runner.Queue[*dispatcher.Job]{Limit: 1}}
-	// The fake clock stands still: an attempt after a delay would never be made.
-	clock := timekeeper.NewFake(time.Unix(1000, 0))
-	d := &dispatcher.Dispatcher{
-		Clock: clock, Log: zerolog.Nop(), Configs: n, Chooser: n, Endpoints: n, Forwarder: n, Queue: q,
-		Random: func() float64 { return 0.5 },
-	}
-	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
-	defer stop()
-	go runner.Pool[*dispatcher.Job]{Workers: 1, Source: q, Handle: d.Handle}.Run(ctx)
-	result := d.Do(ctx, carrier.Request{
-		Route:    definer.Route{Kind: definer.Plain, Deployment: "shop", RetryPolicy: definer.RetryByMethod, Attempts: 1},
-		Method:   "POST",
-		Deadline: clock.Now().Add(time.Minute),
-	}, nil)
+	result := n.serve(t)
 	is.NoErr(result.Err)
 	is.Equal(n.sentTo, []string{"e1", "e2"})
 	is.Equal(n.results, []picker.AttemptResult{picker.ResultNone, picker.ResultResponse})
@@ -49,6 +35,24 @@
 func TestOutdatedList(t *testing.T) {
 	is := is.New(t)
 	n := &leavingNode{outdated: true}
+	result := n.serve(t)
+	is.True(coder.Is(result.Err, coder.ListOutdated))
+	is.Equal(coder.FromError(result.Err).Outcome(), coder.NotRun)
+	is.Equal(len(n.sentTo), 0)
+}
+
+// leavingNode is a node with two endpoints, of which the first leaves.
+type leavingNode struct {
+	nopEndpoints
+	// outdated means that the list of endpoints is too old.
+	outdated bool
+	sentTo   []string
+	results  []picker.AttemptResult
+}
+
+// serve has the node serve one request. The fake clock stands still: an attempt after a delay
+// would never be made.
+func (n *leavingNode) serve(t *testing.T) carrier.Result {
 	q := &openQueue{runner.Queue[*dispatcher.Job]{Limit: 1}}
 	clock := timekeeper.NewFake(time.Unix(1000, 0))
 	d := &dispatcher.Dispatcher{
@@ -58,23 +62,11 @@
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
 	go runner.Pool[*dispatcher.Job]{Workers: 1, Source: q, Handle: d.Handle}.Run(ctx)
-	result := d.Do(ctx, carrier.Request{
+	return d.Do(ctx, carrier.Request{
 		Route:    definer.Route{Kind: definer.Plain, Deployment: "shop", RetryPolicy: definer.RetryByMethod, Attempts: 1},
 		Method:   "POST",
 		Deadline: clock.Now().Add(time.Minute),
 	}, nil)
-	is.True(coder.Is(result.Err, coder.ListOutdated))
-	is.Equal(coder.FromError(result.Err).Outcome(), coder.NotRun)
-	is.Equal(len(n.sentTo), 0)
-}
-
-// leavingNode is a node with two endpoints, of which the first leaves.
-type leavingNode struct {
-	nopEndpoints
-	// outdated means that the list of endpoints is too old.
-	outdated bool
-	sentTo   []string
-	results  []picker.AttemptResult
 }
 
 // Config returns an empty configuration.
