forwarder, acceptor: times from the close of a caller's connection to the end of the attempt

The close counts from its arrival at the kernel, not from when the process notices it.

No logic changes.

--- a/internal/base/acceptor/acceptor.go
+++ b/internal/base/acceptor/acceptor.go
@@ -84,6 +84,8 @@
 	// active means that a complete header has been read and the response has not
 	// been written yet.
 	active bool
+	// peerClosedAt is when the peer closed the connection, once that is known.
+	peerClosedAt time.Time
 }
 
 // pastDeadline is a deadline that makes a read fail at once.
--- a/internal/front/receiver/model.go
+++ b/internal/front/receiver/model.go
@@ -192,6 +192,7 @@
 		Method:         r.Method,
 		Target:         r.URL.RequestURI(),
 		Header:         carrier.Header(r.Header),
+		Caller:         acceptor.CallerOf(r.Context()),
 		Arrived:        now,
 		Deadline:       until,
 		IdempotencyKey: key,
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -368,7 +368,7 @@
 		Endpoints: n.observer,
 		List:      n.verifier,
 		Forwarder: forwarder.Forwarder{
-			Clock: n.clock, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory,
+			Clock: n.clock, Log: n.ports.RequestLog, Transport: n.ports.EndpointTransport, Dialect: n.ports.Dialect, Memory: n.memory,
 			ListAge: func() time.Duration { return n.appliedList.age(n.clock.Now()) },
 		},
 		Queue:      q,
@@ -441,6 +441,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         n.callers.TrackState,
+		ConnContext:       n.callers.ConnContext,
 	}
 	wg.Go(func() { acceptor.Serve(n.log, callers, n.callers) })
 	for _, o := range n.extraServers {
--- a/internal/request/carrier/carrier.go
+++ b/internal/request/carrier/carrier.go
@@ -64,6 +64,13 @@
 // Repeatable reports whether the body can be sent again.
 func (b Body) Repeatable() bool { return b.Stream == nil }
 
+// Caller tells whether a caller still waits for its response.
+type Caller interface {
+	// ClosedAt returns when the caller closed its connection, or false if the connection is
+	// open or that is not known.
+	ClosedAt() (time.Time, bool)
+}
+
 // Request is one request of a caller.
 //
 // It is an immutable value; the With methods return changed copies.
@@ -82,6 +89,8 @@
 	Target string
 	Header Header
 	Body   Body
+	// Caller may be nil: then only the context tells that the caller has disconnected.
+	Caller Caller
 	// Arrived is when the request arrived, Deadline when its response must be
 	// complete.
 	Arrived  time.Time
@@ -115,6 +124,15 @@
 	return r
 }
 
+// CallerClosedAt returns when the caller closed its connection; false if it has not, as far
+// as that is known.
+func (r Request) CallerClosedAt() (time.Time, bool) {
+	if r.Caller == nil {
+		return time.Time{}, false
+	}
+	return r.Caller.ClosedAt()
+}
+
 // WithDeadline returns a copy with another deadline.
 func (r Request) WithDeadline(at time.Time) Request {
 	r.Deadline = at
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -14,8 +14,11 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
+	"foxtailflow.example/foxtailflow/internal/base/recorder"
 	"foxtailflow.example/foxtailflow/internal/base/reserver"
 	"foxtailflow.example/foxtailflow/internal/base/roundtripper"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
@@ -100,6 +103,7 @@
 // Forwarder makes attempts at requests.
 type Forwarder struct {
 	Clock     timekeeper.Clock
+	Log       zerolog.Logger
 	Transport *roundtripper.Transport
 	Dialect   Dialect
 	// Memory bounds what is held of responses; nil means no bound.
@@ -227,9 +231,41 @@
 		record(attempter.Failed{Err: err})
 	}
 	rep.Attempt = state.Get()
+	f.recordClosed(a.Request, rep)
 	return rep, err
 }
 
+// The times from the close of a caller's connection, as the kernel saw it, to the last write
+// of the request and to the end of the attempt, by which its connection is closed.
+var (
+	closeToSend = recorder.Publish("caller-close-to-send-ms")
+	closeToEnd  = recorder.Publish("caller-close-to-end-ms")
+)
+
+// slowRelease is how long an attempt may go on after its caller has closed the connection
+// before that is logged.
+const slowRelease = 250 * time.Millisecond
+
+// recordClosed records how long an attempt that may have reached its endpoint went on after
+// its caller had closed the connection.
+func (f Forwarder) recordClosed(r carrier.Request, rep Report) {
+	if rep.Attempt.Err() == nil || rep.SentAt.IsZero() || r.NeedsClaim() {
+		return
+	}
+	closedAt, ok := r.CallerClosedAt()
+	if !ok {
+		return
+	}
+	late := f.Clock.Now().Sub(closedAt)
+	closeToEnd.Record(late)
+	if rep.SentAt.After(closedAt) {
+		closeToSend.Record(rep.SentAt.Sub(closedAt))
+	}
+	if late > slowRelease {
+		f.Log.Warn().Str("request", r.ID).Dur("close-to-end-ms", late).Dur("close-to-send-ms", max(rep.SentAt.Sub(closedAt), 0)).Msg("attempt ended late after its caller had left")
+	}
+}
+
 // refusedError says that the endpoint itself reports that it has not begun the
 // request.
 type refusedError struct{ error }
