acceptor: a caller that closes its connection is noticed while bytes are unread there

Callers saw nothing; endpoints worked to the end of requests whose callers had closed their connections (GONE), 60 of 60 in a review where bytes of a next request had arrived before.

Cause: the HTTP server notices a close by a read in the background, which ends at the first byte after the request and does not begin while a body is unread. Class: a notice that depends on consuming the bytes before it.

Change: a watcher with an epoll instance of its own waits for EPOLLRDHUP of the callers' connections, which takes no bytes, and ends the context of the request that runs. Ruled out: reading ahead into a buffer, as its bound is one more place where the notice stops; asking at intervals, as that wakes idle nodes.

--- a/internal/base/acceptor/acceptor.go
+++ b/internal/base/acceptor/acceptor.go
@@ -60,9 +60,14 @@
 
 	closeAfterResponse atomic.Bool
 
-	mu           sync.Mutex
-	conns        map[*conn]bool
-	shuttingDown bool
+	// mu is taken before the locks of connections and of the watcher.
+	mu    sync.Mutex
+	conns map[*conn]bool
+	// watcher is nil before the first connection and after the last one of a closed
+	// listener.
+	watcher        *closeWatcher
+	listenerClosed bool
+	shuttingDown   bool
 	// allClosed is closed when the last connection is removed; it is set with
 	// shuttingDown.
 	allClosed chan struct{}
@@ -86,6 +91,10 @@
 	active bool
 	// peerClosedAt is when the peer closed the connection, once that is known.
 	peerClosedAt time.Time
+	// endRequest ends the context of the request that runs; nil if none does.
+	endRequest context.CancelFunc
+	// watchID is the number of the connection at the watcher.
+	watchID uint64
 }
 
 // pastDeadline is a deadline that makes a read fail at once.
@@ -105,9 +114,42 @@
 	}
 	a.conns[tracked] = true
 	tracked.shuttingDown = a.shuttingDown
+	a.watchLocked(tracked)
 	return tracked, nil
 }
 
+// watchLocked has the watcher notice when the peer closes a connection. Without a watcher,
+// only the server's own reads do.
+func (a *Acceptor) watchLocked(c *conn) {
+	if a.watcher == nil {
+		w, err := newCloseWatcher((*conn).peerClosed)
+		if err != nil {
+			return
+		}
+		a.watcher = w
+		go w.run()
+	}
+	a.watcher.add(c)
+}
+
+// Close accepts no more connections.
+func (a *Acceptor) Close() error {
+	err := a.Listener.Close()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listenerClosed = true
+	a.closeWatcherLocked()
+	return err
+}
+
+// closeWatcherLocked closes the watcher when there is nothing left to watch.
+func (a *Acceptor) closeWatcherLocked() {
+	if a.listenerClosed && len(a.conns) == 0 && a.watcher != nil {
+		a.watcher.close()
+		a.watcher = nil
+	}
+}
+
 // TrackState is the ConnState hook of the server.
 func (a *Acceptor) TrackState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
@@ -128,6 +170,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.conns, c)
+	if a.watcher != nil {
+		a.watcher.remove(c)
+	}
+	a.closeWatcherLocked()
 	a.signalIfEmptyLocked()
 }
 
@@ -144,13 +190,16 @@
 // has detected that this server is about to stop.
 func (a *Acceptor) CloseAfterResponse() { a.closeAfterResponse.Store(true) }
 
-// Handler wraps the handler of the server.
+// Handler wraps the handler of the server. The context of a request ends when its caller
+// closes the connection, even while bytes are unread there.
 func (a *Acceptor) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if a.closeAfterResponse.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, end := CallerOf(r.Context()).begin(r.Context())
+		defer end()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/internal/base/acceptor/caller.go
+++ b/internal/base/acceptor/caller.go
@@ -43,20 +43,54 @@
 	return c.conn.closedByPeerAt()
 }
 
-// closedByPeerAt returns when the end of the peer's bytes, or a reset, arrived.
-func (c *conn) closedByPeerAt() (time.Time, bool) {
+// begin returns the context of a request, which ends when the caller closes the connection,
+// and what to call at the end of the request.
+func (c Caller) begin(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	if c.conn == nil {
+		return ctx, cancel
+	}
+	if !c.conn.setEndRequest(cancel) {
+		cancel()
+	}
+	return ctx, func() {
+		c.conn.setEndRequest(nil)
+		cancel()
+	}
+}
+
+// setEndRequest sets what ends the request that runs, and reports whether the peer has not
+// closed the connection yet.
+func (c *conn) setEndRequest(end context.CancelFunc) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.peerClosedAt.IsZero() {
-		if age, closed := peerClosed(c.Conn); closed {
-			c.peerClosedAt = c.acceptor.Clock.Now().Add(-age)
+	c.endRequest = end
+	return c.peerClosedAt.IsZero()
+}
+
+// peerClosed ends the request that runs if the peer has closed the connection.
+func (c *conn) peerClosed() { c.closedByPeerAt() }
+
+// closedByPeerAt returns when the end of the peer's bytes, or a reset, arrived. It ends the
+// request that runs if that was not known.
+func (c *conn) closedByPeerAt() (time.Time, bool) {
+	c.mu.Lock()
+	at, end := c.peerClosedAt, context.CancelFunc(nil)
+	if at.IsZero() {
+		if age, closed := askClosed(c.Conn); closed {
+			at = c.acceptor.Clock.Now().Add(-age)
+			c.peerClosedAt, end = at, c.endRequest
 		}
 	}
-	return c.peerClosedAt, !c.peerClosedAt.IsZero()
+	c.mu.Unlock()
+	if end != nil {
+		end()
+	}
+	return at, !at.IsZero()
 }
 
-// peerClosed reports whether the peer of a connection has closed it, and how long ago.
-func peerClosed(c net.Conn) (age time.Duration, closed bool) {
+// askClosed reports whether the peer of a connection has closed it, and how long ago.
+func askClosed(c net.Conn) (age time.Duration, closed bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, false
