roundtripper: an exchange whose context ends resets its connection

Cause: the connection was closed in time, but a close delivers the bytes that were written before it, and the endpoint reads those first.

Change: when the context of an exchange ends, the connection is reset, which drops what the endpoint has not received. What is in the endpoint's own receive buffer cannot be taken back.

Measured: TestCallerLeaves/long-body failed before (worked on for over 0.5 s) and passes, with the race detector.

--- a/internal/base/roundtripper/connection.go
+++ b/internal/base/roundtripper/connection.go
@@ -64,6 +64,15 @@
 	return err == nil && usable
 }
 
+// reset closes a connection and drops the bytes that the peer has not received. Otherwise
+// the peer would read those first, and work on.
+func (c *connection) reset() {
+	if tcp, ok := c.netConn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.netConn.Close()
+}
+
 // readResponse reads the head of a response.
 func (c *connection) readResponse(method string) (*http.Response, error) {
 	resp, err := c.readVersion(method)
--- a/internal/base/roundtripper/exchange.go
+++ b/internal/base/roundtripper/exchange.go
@@ -83,7 +83,7 @@
 // read.
 //
 // The error has the outcome NotRun if no byte of the request can have been sent.
-// If ctx ends before Body is closed, the connection is closed at once.
+// If ctx ends before Body is closed, the connection is reset at once.
 func (t *Transport) Send(ctx context.Context, address string, req Request, o Options) (*Response, error) {
 	head, err := req.encodeHead(address)
 	if err != nil {
@@ -109,7 +109,7 @@
 		o.OnSend()
 	}
 	sentAt := t.Clock.Now()
-	x := &exchange{transport: t, conn: c, stop: context.AfterFunc(ctx, func() { _ = c.netConn.Close() })}
+	x := &exchange{transport: t, conn: c, stop: context.AfterFunc(ctx, c.reset)}
 	resp, err := x.run(req, head, o)
 	if err != nil {
 		x.finish(false)
