dispatcher: one last check before the first byte asks all that can have changed for a request

Endpoints got requests whose callers had left before (GONE), at nodes that are short of processor.

Cause: a request is checked when a worker of the node gets it and not again. Between that and the first byte it may wait for a turn, a list, a backoff or a connection, and a late process learns that the caller has left only after it has sent the request. Class: the last check is further from the act than the bound allows, as for DRAIN and the configuration.

Change: what was asked at the start (stop, deadline, key, configuration) and at each choice (prompt) is one check, made before each choice and once more between the opening of the connection and the first byte, beside the gates that ask for the endpoint and the list. It asks the kernel whether the caller has closed, not what the process has noticed. The context of a request without a claim derives from the caller's, so that its end needs no goroutine. Refusals by codes 2xx and 4xx are not held against the endpoint.

--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -55,7 +55,7 @@
 	c := &execution{job: job, writer: w, rule: rule, initial: start, lastEvent: r.LastEvent, maxConnections: d.maxConnections(r.Route.Deployment)}
 	d.creditBudget(r, rule)
 	for {
-		if err := d.checkPrompt(r); err != nil {
+		if err := d.checkAttempt(c); err != nil {
 			c.refuse(err)
 			break
 		}
@@ -195,6 +195,7 @@
 		Resume:        resume,
 		Source:        c.prefilled.handle,
 		IdleTimeout:   c.rule.IdleTimeout,
+		Check:         func() error { return d.checkAttempt(c) },
 	}
 	if a.Source.ID == "" {
 		a.FetchFrom = plan.FetchFrom
@@ -262,8 +263,9 @@
 	switch code := coder.FromError(err).Code(); {
 	case err == nil:
 		return picker.ResultResponse
-	// Codes 1xx are the caller's fault: it has disconnected, or its body failed.
-	case c.job.ctx.Err() != nil, code/100 == 1, code == coder.ConnectionLost, code == coder.ConnectionsFull, heldBack(err):
+	// Codes 1xx are the caller's fault: it has disconnected, or its body failed. Codes 2xx
+	// and 4xx are this node's.
+	case c.job.ctx.Err() != nil, code/100 == 1, code/100 == 2, code/100 == 4, code == coder.ConnectionLost, heldBack(err):
 		return picker.ResultNone
 	case code == coder.EndpointRefused:
 		return picker.ResultRefused
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -202,14 +202,15 @@
 		refused.Add(1)
 		return carrier.Result{Err: err}
 	}
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	parent := ctx
+	if r.NeedsClaim() {
+		parent = context.WithoutCancel(ctx)
+	}
+	run, cancel := context.WithCancel(parent)
 	defer cancel()
 	defer context.AfterFunc(d.stop.context(), cancel)()
 	timer := d.Clock.AfterFunc(r.Deadline.Sub(d.Clock.Now()), cancel)
 	defer timer.Stop()
-	if !r.NeedsClaim() {
-		defer context.AfterFunc(ctx, cancel)()
-	}
 	if err := d.checkPrompt(r); err != nil {
 		refused.Add(1)
 		return carrier.Result{Err: err}
@@ -319,17 +320,24 @@
 	return d.run(job, job.writer, rule, attempter.Attempt{})
 }
 
-// recheck refuses a request that may no longer run when a worker gets it.
+// recheck refuses a request that may no longer run when a worker gets it, or whose caller
+// does not wait for it any more.
 func (d *Dispatcher) recheck(job *Job) error {
-	r := job.request
-	if job.caller.Err() != nil {
-		return coder.Refuse(coder.CallerGone, "the caller disconnected while the request was queued")
+	if _, closed := job.request.CallerClosedAt(); closed || job.caller.Err() != nil {
+		return coder.Refuse(coder.CallerGone, "the caller disconnected before the request was sent")
 	}
+	return d.checkAllowed(job)
+}
+
+// checkAllowed refuses a request that may no longer run. The process may have been late or
+// paused since the request was accepted.
+func (d *Dispatcher) checkAllowed(job *Job) error {
+	r := job.request
 	if d.stop.context().Err() != nil {
-		return coder.Refuse(coder.ShuttingDown, "the node stopped while the request was queued")
+		return coder.Refuse(coder.ShuttingDown, "the node stopped before the request was sent")
 	}
 	if job.ctx.Err() != nil || !d.Clock.Now().Before(r.Deadline) {
-		return coder.Refuse(coder.DeadlinePassed, "the deadline passed while the request was queued")
+		return coder.Refuse(coder.DeadlinePassed, "the deadline passed before the request was sent")
 	}
 	if r.KeyID == "" {
 		return nil
@@ -339,8 +347,22 @@
 		return err
 	}
 	if key, ok := cfg.Key(r.KeyID); !ok || key.Account != r.Account {
-		return coder.Refuse(coder.KeyUnknown, "the key was withdrawn while the request was queued")
+		return coder.Refuse(coder.KeyUnknown, "the key was withdrawn before the request was sent")
 	}
-	// The process may have been paused since the request was accepted.
 	return d.Configs.CheckCurrent()
 }
+
+// checkAttempt refuses a further attempt at a request. It is asked before the endpoints are
+// chosen and once more before the first byte, as any of what it asks may have changed while
+// the request waited. A request with a claim runs even if its caller has left, for its
+// repeat.
+func (d *Dispatcher) checkAttempt(c *execution) error {
+	check := d.recheck
+	if c.job.request.NeedsClaim() {
+		check = d.checkAllowed
+	}
+	if err := check(c.job); err != nil {
+		return err
+	}
+	return d.checkPrompt(c.job.request)
+}
--- a/internal/request/dispatcher/prefill.go
+++ b/internal/request/dispatcher/prefill.go
@@ -47,6 +47,7 @@
 		NewConnection: c.freshConnection,
 		Resent:        slices.Contains(c.sentTo, e.Address),
 		FetchFrom:     plan.FetchFrom,
+		Check:         func() error { return d.checkAttempt(c) },
 	})
 	c.recordSent(e, rep)
 	d.recordDelay(c, e, rep)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -151,6 +151,9 @@
 	// FirstByteTimeout ends an attempt that has received no first event by then,
 	// or, for a response that is no stream, no head; 0 means no limit.
 	FirstByteTimeout time.Duration
+	// Check is the last check of the request itself, called between the opening of a
+	// connection and the first byte; if it fails, nothing is sent. Nil allows all.
+	Check func() error
 	// OnFirstData is called when the first data of a valid response has arrived.
 	OnFirstData func()
 }
@@ -283,6 +286,7 @@
 		MaxConnections: a.Connections,
 		NewConnection:  a.NewConnection,
 		Fresh:          a.Resent,
+		Guard:          a.Check,
 		OnSend: func() {
 			x.report.SentAt = f.Clock.Now()
 			if f.ListAge != nil {
