receiver: a body that was not read is told from a caller that has left

Callers that close their side in the middle of a body got code 108 and not 101 since the last check asks for the caller: the request is refused before the body is read, so that nothing shows that it is incomplete.

--- a/internal/front/receiver/input.go
+++ b/internal/front/receiver/input.go
@@ -73,6 +73,10 @@
 func (b *streamedBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.readLocked(p)
+}
+
+func (b *streamedBody) readLocked(p []byte) (int, error) {
 	_ = b.control.SetReadDeadline(b.clock.Now().Add(b.timeout))
 	n, err := b.body.Read(p)
 	if err == nil {
@@ -86,18 +90,28 @@
 	return n, b.err
 }
 
+// readerFunc is a function that reads.
+type readerFunc func([]byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // requestError returns the error of a request, which is that of the body if reading it
 // failed.
 //
-// The server cancels a request's context when a read from its connection fails, so a
-// failed body looks like a caller that has disconnected. The failed read has then
-// returned or is about to, so Lock does not block for long.
+// The context of a request ends when a read from its connection fails or the caller closes
+// it, so a failed body looks like a caller that has disconnected. A read in progress has then
+// returned or is about to, so Lock does not block for long, and what has arrived of a body
+// that was not read shows whether it is complete.
 func (b *streamedBody) requestError(err error) error {
 	if !coder.Is(err, coder.CallerGone) {
 		return err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.err == nil {
+		_, _ = io.CopyN(io.Discard, readerFunc(b.readLocked), maxBufferedBody)
+	}
 	if b.err == nil {
 		return err
 	}
