transactor, platform, follower: the version of a row has the era of the store

Cause: versions were ordered by their numbers alone. A store that comes back gives numbers out again, so the follower took the content that it read for an older one, kept its own, and took the read for a confirmation of that; relays and watches compared in the same way. Class: an order that is no longer one, after the other side has lost its memory.

Change: transactor.Version has the era above the number, so that all that compares versions compares both. Content that is sent between nodes across eras is complete; a source that is still in the earlier era is left. After a change of the era, entries that are missing may be written again, as after an outage. Ruled out: a case for a read of lower version in each reader, as a stale read looks the same.

Duties do not survive the return yet: the usage duty reloads for ever, as its epoch row is gone.

--- a/internal/authority/leaser/grant.go
+++ b/internal/authority/leaser/grant.go
@@ -21,7 +21,7 @@
 	// Token is the fencing token, which grows with each takeover.
 	Token uint64
 	// Epoch is the version of the row lease-epoch/DUTY that the takeover wrote.
-	Epoch uint64
+	Epoch transactor.Version
 	// Taken is when the takeover was sent, Until when the lease can no longer be
 	// trusted, both on this node's clock.
 	Taken time.Time
--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // lease is the content of the row lease/DUTY.
@@ -68,7 +69,7 @@
 	// row and version are the lease row as last seen, rowSince the time at which
 	// it was first seen at this version. rowKnown is false before the first read.
 	row      lease
-	version  uint64
+	version  transactor.Version
 	rowSince time.Time
 	rowKnown bool
 	// interrupted says that the last call failed; resumedAt is the first read after
@@ -78,7 +79,7 @@
 	// held says that the row is this node's lease; epoch, takenAt and expiresAt
 	// belong to it.
 	held      bool
-	epoch     uint64
+	epoch     transactor.Version
 	takenAt   time.Time
 	expiresAt time.Time
 	// pending lists the commits whose result must be read back before another
@@ -114,7 +115,7 @@
 }
 
 // withRow returns a copy that has seen the row at the given time.
-func (d duty) withRow(l lease, version uint64, at time.Time) duty {
+func (d duty) withRow(l lease, version transactor.Version, at time.Time) duty {
 	if !d.rowKnown || d.version != version {
 		d.rowSince = at
 	}
@@ -132,13 +133,13 @@
 }
 
 // withTakeover returns a copy whose takeover is known to have taken effect.
-func (d duty) withTakeover(pc pendingCommit, version uint64) duty {
+func (d duty) withTakeover(pc pendingCommit, version transactor.Version) duty {
 	d.held, d.epoch, d.takenAt = true, version, pc.sent
 	return d.withRenewal(pc, version)
 }
 
 // withRenewal returns a copy whose renewal is known to have taken effect.
-func (d duty) withRenewal(pc pendingCommit, version uint64) duty {
+func (d duty) withRenewal(pc pendingCommit, version transactor.Version) duty {
 	d.row, d.version, d.rowKnown, d.pending = pc.lease, version, true, nil
 	d.expiresAt = pc.expiresAt
 	return d
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -281,7 +281,7 @@
 }
 
 // read returns the lease row; an absent row has version 0.
-func (l *Leaser) read(ctx context.Context, name string) (lease, uint64, error) {
+func (l *Leaser) read(ctx context.Context, name string) (lease, transactor.Version, error) {
 	r, err := l.Table.Get(ctx, RowKey(name))
 	if coder.Is(err, coder.RowUnknown) {
 		return lease{}, 0, nil
--- a/internal/config/applier/applier_test.go
+++ b/internal/config/applier/applier_test.go
@@ -41,7 +41,7 @@
 }
 
 // Commit commits a transaction and may lose the response.
-func (l *lossyTable) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+func (l *lossyTable) Commit(ctx context.Context, tx transactor.Tx) (transactor.Version, error) {
 	if l.beforeCommit != nil {
 		before := l.beforeCommit
 		l.beforeCommit = nil
--- a/internal/config/applier/files.go
+++ b/internal/config/applier/files.go
@@ -51,7 +51,7 @@
 	byName  map[string]File
 	recent  []acceptedChange
 	// rowVersion is the version of the head row in the store.
-	rowVersion uint64
+	rowVersion transactor.Version
 }
 
 // Decode returns the folder that the rows contain, or ConfigNotLoaded if there
--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -24,6 +24,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Duty returns the name of the duty of directing the endpoints of a deployment.
@@ -145,7 +146,7 @@
 
 // holderState is the state that the holder of a deployment's duty keeps.
 type holderState struct {
-	epoch uint64
+	epoch transactor.Version
 	// superseded says that an order was refused because of a newer fencing token:
 	// another node has taken the duty over, even if the lease of this node is
 	// still valid.
--- a/internal/fleet/drainer/rows.go
+++ b/internal/fleet/drainer/rows.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/jx"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // keyPrefix is the key prefix of the rows that list draining endpoints, one row
@@ -16,7 +17,7 @@
 
 // drainRow is the row of one deployment.
 type drainRow struct {
-	version uint64
+	version transactor.Version
 	// since maps each draining endpoint to the time at which this node first saw
 	// it listed.
 	since map[string]time.Time
@@ -36,7 +37,7 @@
 
 // seenRow returns a row that was read or written at the given time. Endpoints
 // that were listed before keep the time at which they were first seen.
-func (n drainRows) seenRow(deployment string, version uint64, ids []string, at time.Time) drainRow {
+func (n drainRows) seenRow(deployment string, version transactor.Version, ids []string, at time.Time) drainRow {
 	row := drainRow{version: version, since: make(map[string]time.Time, len(ids))}
 	for _, id := range ids {
 		row.since[id] = at
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -38,7 +38,7 @@
 
 // list is the list of the last call. It is an immutable value.
 type list struct {
-	changed uint64
+	changed transactor.Version
 	loaded  bool
 	vms     map[string]supplier.VM
 	// rows has the decoded entries by their keys, so that only changed rows are
@@ -71,7 +71,7 @@
 
 // entry is the result of decoding a row at a version.
 type entry struct {
-	version uint64
+	version transactor.Version
 	vm      supplier.VM
 	err     error
 }
@@ -124,7 +124,7 @@
 		vm := e.vm
 		if old, ok := before.vms[vm.ID]; !ok || old != vm {
 			l.Log.Info().Str("endpoint", vm.ID).Str("address", vm.Address).Str("deployment", vm.Deployment).
-				Str("state", string(vm.State)).Str("role", vm.Role).Uint64("version", row.Version).Msg("endpoint listed")
+				Str("state", string(vm.State)).Str("role", vm.Role).Stringer("version", row.Version).Msg("endpoint listed")
 		}
 		out.vms[vm.ID] = vm
 	}
@@ -142,7 +142,7 @@
 		if mayHaveExpired {
 			out.missing[id] = missingVM{vm: vm, until: until}
 		}
-		l.Log.Info().Str("endpoint", id).Bool("may-have-lapsed", mayHaveExpired).Uint64("version", s.ChangedVersion).Msg("endpoint no longer listed")
+		l.Log.Info().Str("endpoint", id).Bool("may-have-lapsed", mayHaveExpired).Stringer("version", s.ChangedVersion).Msg("endpoint no longer listed")
 	}
 	return out
 }
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -26,7 +26,7 @@
 		clock := timekeeper.NewFake(time.Unix(1000, 0))
 		var resumed time.Time
 		var entries string
-		version := uint64(0)
+		version := transactor.Version(0)
 		l := &lister.Lister{
 			Clock: clock, Log: zerolog.Nop(), RewriteTimeout: 2 * time.Second,
 			Snapshot: func() follower.Snapshot {
@@ -64,7 +64,7 @@
 	})
 }
 
-func rows(entries string, version uint64) []transactor.Row {
+func rows(entries string, version transactor.Version) []transactor.Row {
 	var rows []transactor.Row
 	for _, e := range strings.Fields(entries) {
 		name, state, _ := strings.Cut(e, ":")
--- a/internal/fleet/orderer/fleet.go
+++ b/internal/fleet/orderer/fleet.go
@@ -23,14 +23,14 @@
 // It is an immutable value; the with methods return changed copies.
 type fleetOrders struct {
 	// epoch is the epoch of the lease under which the rows were read.
-	epoch uint64
+	epoch transactor.Version
 	// stale says that the result of a commit is unknown, so that the rows must be
 	// read again.
 	stale bool
 	// head is the version of the row that every new order changes. Without it, a
 	// commit that takes effect after its timeout would add an order beside the one
 	// that replaced it.
-	head uint64
+	head transactor.Version
 	rows map[string]fleetOrder
 }
 
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -218,7 +218,7 @@
 
 // commit writes rows under the lease of the duty. After a failure the rows are
 // read again, since the commit may have taken effect.
-func (o *Orderer) commit(ctx context.Context, p placement, tx transactor.Tx) (uint64, error) {
+func (o *Orderer) commit(ctx context.Context, p placement, tx transactor.Tx) (transactor.Version, error) {
 	version, err := o.Table.Commit(ctx, p.grant.Guard(tx))
 	if err != nil {
 		o.markStale(p.deployment.Name)
--- a/internal/fleet/orderer/record.go
+++ b/internal/fleet/orderer/record.go
@@ -10,6 +10,7 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/engine/controller"
 	"foxtailflow.example/foxtailflow/internal/fleet/supplier"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // The key prefixes of the rows that orders are recorded in.
@@ -41,7 +42,7 @@
 	engine string
 	record Record
 	// version is the version of the row; 0 means that there is no row.
-	version uint64
+	version transactor.Version
 	state   controller.State
 	stateAt time.Time
 	// lastSent is the ID of the order that this process started to send last.
@@ -64,7 +65,7 @@
 	return st.record.Order.FencingToken == g.Token && st.lastSent != st.record.Order.ID
 }
 
-func (st engineStatus) withRecord(r Record, version uint64) engineStatus {
+func (st engineStatus) withRecord(r Record, version transactor.Version) engineStatus {
 	if r.Order.ID != st.record.Order.ID {
 		st.failures = 0
 	}
@@ -146,7 +147,7 @@
 	done   bool
 	// version is the version of the row, doneAt the time at which this node first
 	// saw it done.
-	version uint64
+	version transactor.Version
 	doneAt  time.Time
 }
 
--- a/internal/fleet/orderer/simulation_test.go
+++ b/internal/fleet/orderer/simulation_test.go
@@ -203,9 +203,9 @@
 	return r, err
 }
 
-func (t table) Commit(_ context.Context, tx transactor.Tx) (uint64, error) {
+func (t table) Commit(_ context.Context, tx transactor.Tx) (transactor.Version, error) {
 	errLostResponse := coder.New(coder.PlatformUnsure, "the response was lost")
-	commit := func() (uint64, error) { return t.n.sim.commit(tx) }
+	commit := func() (transactor.Version, error) { return t.n.sim.commit(tx) }
 	if t.n.partitioned {
 		return 0, errPartitioned
 	}
@@ -234,7 +234,7 @@
 // commit runs a transaction. It records a violation if an order that has not
 // taken effect is overwritten by another, or if an order is recorded after a
 // takeover by another process.
-func (sim *simulation) commit(tx transactor.Tx) (uint64, error) {
+func (sim *simulation) commit(tx transactor.Tx) (transactor.Version, error) {
 	before := sim.recorded()
 	version, err := sim.memory.Commit(context.Background(), tx)
 	after := sim.recorded()
--- a/internal/inner/courier/codec.go
+++ b/internal/inner/courier/codec.go
@@ -161,10 +161,10 @@
 func encodeContent(c TableContent) *ContentMessage {
 	return &ContentMessage{
 		Whole:   c.Complete,
-		Version: c.Version,
-		Changed: c.ChangedVersion,
+		Version: uint64(c.Version),
+		Changed: uint64(c.ChangedVersion),
 		Rows: convertAll(c.Rows, func(r transactor.Row) *RowMessage {
-			return &RowMessage{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+			return &RowMessage{Key: r.Key, Value: r.Value, Version: uint64(r.Version), Deleted: r.Deleted}
 		}),
 		AgeMs:     milliseconds(c.Age),
 		ResumedMs: milliseconds(c.SinceOutage),
@@ -175,10 +175,10 @@
 func decodeContent(m *ContentMessage) TableContent {
 	return TableContent{
 		Complete:       m.GetWhole(),
-		Version:        m.GetVersion(),
-		ChangedVersion: m.GetChanged(),
+		Version:        transactor.Version(m.GetVersion()),
+		ChangedVersion: transactor.Version(m.GetChanged()),
 		Rows: convertAll(m.GetRows(), func(r *RowMessage) transactor.Row {
-			return transactor.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()}
+			return transactor.Row{Key: r.GetKey(), Value: r.GetValue(), Version: transactor.Version(r.GetVersion()), Deleted: r.GetDeleted()}
 		}),
 		Age:         duration(m.GetAgeMs()),
 		SinceOutage: duration(m.GetResumedMs()),
--- a/internal/inner/courier/courier.go
+++ b/internal/inner/courier/courier.go
@@ -242,8 +242,8 @@
 type TableContent struct {
 	// Complete means that Rows has the complete content and not only the changes.
 	Complete       bool
-	Version        uint64
-	ChangedVersion uint64
+	Version        transactor.Version
+	ChangedVersion transactor.Version
 	Rows           []transactor.Row
 	// Age is the time since the store confirmed the content. SinceOutage is the time
 	// since the store was available again after an outage so long that rows may
--- a/internal/inner/courier/rpc.go
+++ b/internal/inner/courier/rpc.go
@@ -7,6 +7,7 @@
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/inner/dialer"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Handler handles the calls of other nodes.
@@ -18,7 +19,7 @@
 	HandleDisconnect(last NodeUpdate)
 	// Follow sends the content of a table, then its changes, until ctx is done or
 	// send fails.
-	Follow(ctx context.Context, prefix string, changed uint64, send func(TableContent) error) error
+	Follow(ctx context.Context, prefix string, changed transactor.Version, send func(TableContent) error) error
 }
 
 // NewServer returns a gRPC server that passes the calls of other nodes to h.
@@ -56,7 +57,7 @@
 
 // Follow sends the content of a table, then its changes.
 func (s server) Follow(m *FollowRequest, stream grpc.ServerStreamingServer[ContentMessage]) error {
-	return s.h.Follow(stream.Context(), m.GetPrefix(), m.GetChanged(), func(c TableContent) error {
+	return s.h.Follow(stream.Context(), m.GetPrefix(), transactor.Version(m.GetChanged()), func(c TableContent) error {
 		return stream.Send(encodeContent(c))
 	})
 }
@@ -103,12 +104,12 @@
 
 // Follow passes the content of a table at the node with an address to take, until
 // ctx is done or the stream breaks.
-func (c *Client) Follow(ctx context.Context, address, prefix string, changed uint64, take func(TableContent)) error {
+func (c *Client) Follow(ctx context.Context, address, prefix string, changed transactor.Version, take func(TableContent)) error {
 	node, err := c.client(address)
 	if err != nil {
 		return err
 	}
-	stream, err := node.Follow(ctx, &FollowRequest{Prefix: prefix, Changed: changed})
+	stream, err := node.Follow(ctx, &FollowRequest{Prefix: prefix, Changed: uint64(changed)})
 	if err != nil {
 		return unreachable(err, address)
 	}
--- a/internal/lab/provider/feed.go
+++ b/internal/lab/provider/feed.go
@@ -29,7 +29,7 @@
 
 // Watch returns the rows with a prefix that have changed after a version, as
 // soon as there is one. It returns no rows if there is none within wait.
-func (m *Memory) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (transactor.Changes, error) {
+func (m *Memory) Watch(ctx context.Context, prefix string, after transactor.Version, wait time.Duration) (transactor.Changes, error) {
 	if err := m.admit(ctx, opTableRead); err != nil {
 		return transactor.Changes{}, err
 	}
@@ -51,7 +51,7 @@
 
 // changesSince returns the changes after a version, and a channel that is closed
 // at the next change.
-func (m *Memory) changesSince(prefix string, after uint64) (transactor.Changes, <-chan struct{}, error) {
+func (m *Memory) changesSince(prefix string, after transactor.Version) (transactor.Changes, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if after < m.droppedVersion {
--- a/internal/lab/provider/memory.go
+++ b/internal/lab/provider/memory.go
@@ -47,13 +47,13 @@
 	SpareVMs []supplier.VM
 
 	mu      sync.Mutex
-	commits uint64
+	commits transactor.Version
 	rows    map[string]transactor.Row
 	// changes holds the newest changes in their order, changed is closed at the
 	// next one, and droppedVersion is the newest version dropped from changes.
 	changes        []transactor.Row
 	changed        chan struct{}
-	droppedVersion uint64
+	droppedVersion transactor.Version
 	vms            []supplier.VM
 	orders         map[string]supplier.EndpointOrder
 	reports        map[string]biller.Report
@@ -127,7 +127,7 @@
 }
 
 // Commit runs a transaction and returns its version.
-func (m *Memory) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+func (m *Memory) Commit(ctx context.Context, tx transactor.Tx) (transactor.Version, error) {
 	if err := m.admit(ctx, opTableWrite); err != nil {
 		return 0, err
 	}
@@ -138,7 +138,7 @@
 	return version, m.simulateLostResponse(ctx)
 }
 
-func (m *Memory) commit(tx transactor.Tx) (uint64, error) {
+func (m *Memory) commit(tx transactor.Tx) (transactor.Version, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range tx.Checks() {
--- a/internal/lab/provider/server.go
+++ b/internal/lab/provider/server.go
@@ -79,7 +79,7 @@
 		return
 	}
 	version, err := s.Memory.Commit(r.Context(), tx)
-	respond(w, encoder.EncodeVersion(version), err)
+	respond(w, encoder.EncodeVersion(version.Number()), err)
 }
 
 func (s Server) row(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -114,7 +114,7 @@
 		respondError(w, coder.Refuse(coder.PlatformRefused, "malformed duration in query value wait"))
 		return
 	}
-	c, err := s.Memory.Watch(r.Context(), prefix, after, wait)
+	c, err := s.Memory.Watch(r.Context(), prefix, transactor.NewVersion(0, after), wait)
 	respond(w, encoder.EncodeChanges(c), err)
 }
 
--- a/internal/member/registrar/registrar.go
+++ b/internal/member/registrar/registrar.go
@@ -40,7 +40,7 @@
 	// clock, less that reading.
 	ClockOffset time.Duration
 	// RowVersion is the version of the row.
-	RowVersion uint64
+	RowVersion transactor.Version
 }
 
 // Registrar writes this node's row and holds those of all nodes.
--- a/internal/member/registrar/registrar_test.go
+++ b/internal/member/registrar/registrar_test.go
@@ -49,7 +49,7 @@
 }
 
 // Watch blocks until ctx is done and returns no changes.
-func (e *testEnv) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (transactor.Changes, error) {
+func (e *testEnv) Watch(ctx context.Context, _ string, _ transactor.Version, _ time.Duration) (transactor.Changes, error) {
 	<-ctx.Done()
 	return transactor.Changes{}, ctx.Err()
 }
--- a/internal/node/composer/applied.go
+++ b/internal/node/composer/applied.go
@@ -7,6 +7,7 @@
 	"foxtailflow.example/foxtailflow/internal/base/keeper"
 	"foxtailflow.example/foxtailflow/internal/fleet/verifier"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // appliedTable is what the state of the node reflects of a table that it follows. Content
@@ -20,7 +21,7 @@
 // appliedContent is the version of the content that was applied last, and when the store
 // confirmed it. It is an immutable value.
 type appliedContent struct {
-	version     uint64
+	version     transactor.Version
 	confirmedAt time.Time
 }
 
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -257,7 +257,7 @@
 	case coder.Is(err, coder.ConfigNotLoaded):
 		return
 	case err != nil:
-		n.log.Error().Uint64("row-version", s.ChangedVersion).Err(err).Msg("failed to decode the configuration")
+		n.log.Error().Stringer("row-version", s.ChangedVersion).Err(err).Msg("failed to decode the configuration")
 		return
 	}
 	n.config.Update(func(l loadedConfig) (loadedConfig, bool) {
@@ -392,7 +392,7 @@
 // listState returns the version, age and source of the endpoints' entries.
 func (n *Node) listState() explainer.ListState {
 	s := n.endpoints.Snapshot()
-	return explainer.ListState{Version: s.ChangedVersion, Age: s.Age(n.clock.Now()), Source: s.Source}
+	return explainer.ListState{Version: s.ChangedVersion.Number(), Age: s.Age(n.clock.Now()), Source: s.Source}
 }
 
 // recordPrefixes reports to the other nodes that an engine prefills the prefixes
--- a/internal/node/composer/members.go
+++ b/internal/node/composer/members.go
@@ -22,6 +22,7 @@
 	"foxtailflow.example/foxtailflow/internal/member/locator"
 	"foxtailflow.example/foxtailflow/internal/member/registrar"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // members are the components of a node that communicate with the other nodes.
@@ -250,7 +251,7 @@
 }
 
 // Follow sends the content of a table and its changes.
-func (p peerService) Follow(ctx context.Context, prefix string, changed uint64, send func(courier.TableContent) error) error {
+func (p peerService) Follow(ctx context.Context, prefix string, changed transactor.Version, send func(courier.TableContent) error) error {
 	for _, f := range []*follower.Follower{p.node.configs, p.node.endpoints, p.node.members.nodes, p.node.harmful} {
 		if f.Prefix == prefix {
 			return f.Serve(ctx, changed, send)
@@ -278,6 +279,6 @@
 }
 
 // Follow receives the content of a table from the node at an address.
-func (r relay) Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.TableContent)) error {
+func (r relay) Follow(ctx context.Context, address, prefix string, changed transactor.Version, take func(courier.TableContent)) error {
 	return r.node.members.peerClient.Follow(ctx, address, prefix, changed, take)
 }
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -105,9 +105,12 @@
 
 // Ports are the external interfaces of a node.
 type Ports struct {
-	Table  transactor.Table
-	Feed   transactor.Feed
-	Config Configuration
+	Table transactor.Table
+	Feed  transactor.Feed
+	// StoreEra returns the newest era of the store that this node knows; nil means that the
+	// store has none.
+	StoreEra func() uint64
+	Config   Configuration
 	// EndpointKeyPrefix is the key prefix of the rows with the endpoints' entries.
 	EndpointKeyPrefix string
 	DecodeEndpoint    func(transactor.Row) (supplier.VM, error)
--- a/internal/platform/connector/client.go
+++ b/internal/platform/connector/client.go
@@ -73,7 +73,7 @@
 }
 
 // Commit runs a transaction.
-func (c Client) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+func (c Client) Commit(ctx context.Context, tx transactor.Tx) (transactor.Version, error) {
 	data, err := c.write(ctx, http.MethodPost, "/table/commit", encoder.EncodeTx(tx))
 	if err != nil {
 		return 0, err
@@ -82,7 +82,7 @@
 	if err != nil {
 		return 0, coder.Wrap(coder.PlatformUnsure, err, "the response to a commit is malformed")
 	}
-	return version, nil
+	return transactor.NewVersion(0, version), nil
 }
 
 // Read returns all rows whose key has the prefix.
@@ -92,10 +92,10 @@
 
 // Watch returns the rows with the prefix that have changed after a version; it
 // waits for changes for at most the given time.
-func (c Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (transactor.Changes, error) {
+func (c Client) Watch(ctx context.Context, prefix string, after transactor.Version, wait time.Duration) (transactor.Changes, error) {
 	c.Timeout = c.timeout() + wait
 	return c.changes(ctx, url.Values{
-		"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()},
+		"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}, "wait": {wait.String()},
 	})
 }
 
--- a/internal/platform/encoder/table.go
+++ b/internal/platform/encoder/table.go
@@ -41,7 +41,7 @@
 func encodeCheck(e *jx.Encoder, c transactor.Check) {
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("key", func(e *jx.Encoder) { e.Str(c.Key) })
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(uint64(c.Version)) })
 	})
 }
 
@@ -80,13 +80,19 @@
 	return tx, malformed(err)
 }
 
+// decodeVersion decodes a version; this platform has no eras.
+func decodeVersion(d *jx.Decoder) (transactor.Version, error) {
+	n, err := d.UInt64()
+	return transactor.NewVersion(0, n), err
+}
+
 func decodeCheck(d *jx.Decoder) (c transactor.Check, err error) {
 	err = d.Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "key":
 			c.Key, err = d.Str()
 		case "version":
-			c.Version, err = d.UInt64()
+			c.Version, err = decodeVersion(d)
 		default:
 			err = d.Skip()
 		}
@@ -133,7 +139,7 @@
 			e.Obj(func(e *jx.Encoder) {
 				e.Field("key", func(e *jx.Encoder) { e.Str(r.Key) })
 				e.Field("value", func(e *jx.Encoder) { e.Base64(r.Value) })
-				e.Field("version", func(e *jx.Encoder) { e.UInt64(r.Version) })
+				e.Field("version", func(e *jx.Encoder) { e.UInt64(uint64(r.Version)) })
 				if r.Deleted {
 					e.Field("deleted", func(e *jx.Encoder) { e.Bool(true) })
 				}
@@ -146,7 +152,7 @@
 func EncodeChanges(c transactor.Changes) []byte {
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
-		e.Field("version", func(e *jx.Encoder) { e.UInt64(c.Version) })
+		e.Field("version", func(e *jx.Encoder) { e.UInt64(uint64(c.Version)) })
 		e.Field("clock-ms", func(e *jx.Encoder) { e.Int64(c.StoreClock.Milliseconds()) })
 		e.Field("rows", func(e *jx.Encoder) { encodeRows(e, c.Rows) })
 	})
@@ -159,7 +165,7 @@
 	err = jx.DecodeBytes(data).Obj(func(d *jx.Decoder, name string) (err error) {
 		switch name {
 		case "version":
-			c.Version, err = d.UInt64()
+			c.Version, err = decodeVersion(d)
 		case "clock-ms":
 			var ms int64
 			ms, err = d.Int64()
@@ -195,7 +201,7 @@
 			case "value":
 				r.Value, err = decodeBytes(d)
 			case "version":
-				r.Version, err = d.UInt64()
+				r.Version, err = decodeVersion(d)
 			case "deleted":
 				r.Deleted, err = d.Bool()
 			default:
--- a/internal/request/claimer/batch.go
+++ b/internal/request/claimer/batch.go
@@ -31,7 +31,7 @@
 // op writes or deletes one row, provided that it still has the given version.
 type op struct {
 	key     string
-	version uint64
+	version transactor.Version
 	// value is the new content; nil deletes the row.
 	value []byte
 	// done receives the result; it must not block.
@@ -45,7 +45,7 @@
 // taken effect and will not. With any other error it may have taken effect or
 // may still do so.
 type opResult struct {
-	version uint64
+	version transactor.Version
 	row     transactor.Row
 	err     error
 }
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -73,7 +73,7 @@
 // HeldClaim is a claim that is known to be held.
 type HeldClaim struct {
 	key     string
-	version uint64
+	version transactor.Version
 	record  Record
 }
 
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -159,7 +159,7 @@
 	wg     *sync.WaitGroup
 }
 
-func (f flakyTable) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+func (f flakyTable) Commit(ctx context.Context, tx transactor.Tx) (transactor.Version, error) {
 	unsure := coder.New(coder.PlatformUnsure, "no response")
 	time.Sleep(time.Duration(f.random() * float64(2*time.Millisecond)))
 	switch p := f.random(); {
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -234,12 +234,12 @@
 type store struct {
 	transactor.Table
 	rows    map[string]transactor.Row
-	version uint64
+	version transactor.Version
 	down    bool
 }
 
 // Commit runs a transaction.
-func (s *store) Commit(_ context.Context, tx transactor.Tx) (uint64, error) {
+func (s *store) Commit(_ context.Context, tx transactor.Tx) (transactor.Version, error) {
 	if s.down {
 		return 0, coder.Wrap(coder.PlatformUnavailable, errors.New("no response"), "the store is away")
 	}
--- a/internal/request/quarantiner/rows.go
+++ b/internal/request/quarantiner/rows.go
@@ -31,7 +31,7 @@
 type storedPattern struct {
 	pattern   attributor.Pattern
 	endpoints []string
-	version   uint64
+	version   transactor.Version
 	// seenAt is when this node first saw the version.
 	seenAt time.Time
 }
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -4,7 +4,8 @@
 // watch can miss changes, and the store can be unavailable to this node only.
 // Each watch is therefore short, the whole table is read again where the history
 // has gaps, and the content of another node is taken where it is newer. The copy
-// never goes back to an older version.
+// never goes back to an older version. A store that comes back from an older copy begins an
+// era, and versions of a later era are newer, whatever their numbers.
 package follower
 
 import (
@@ -29,9 +30,9 @@
 // It is an immutable value.
 type Snapshot struct {
 	// Version is the newest version of the store that the content reflects.
-	Version uint64
+	Version transactor.Version
 	// ChangedVersion is the version of the newest row, deletions included.
-	ChangedVersion uint64
+	ChangedVersion transactor.Version
 	rows           map[string]transactor.Row
 	// ConfirmedAt is a time at which the content was that of the store: no change
 	// before it is missing.
@@ -51,8 +52,8 @@
 	UnavailableSince time.Time
 	AvailableSince   time.Time
 	// OutageEndedAt is when the content was confirmed again after no node had
-	// reached the store for so long that rows may have expired; zero while that
-	// has not happened.
+	// reached the store for so long that rows may have expired, or when the store had come
+	// back from a copy that may be without them; zero while that has not happened.
 	OutageEndedAt time.Time
 	// SharedOutageAt is when other nodes last showed that the store does not answer them
 	// either.
@@ -60,7 +61,7 @@
 }
 
 // NewSnapshot returns a snapshot of rows at a version.
-func NewSnapshot(version uint64, rows []transactor.Row) Snapshot {
+func NewSnapshot(version transactor.Version, rows []transactor.Row) Snapshot {
 	return Snapshot{}.withContent(transactor.Changes{Rows: rows, Version: version})
 }
 
@@ -120,14 +121,24 @@
 		s.ChangedVersion = max(s.ChangedVersion, r.Version)
 		same = same && old[r.Key].Version == r.Version
 	}
+	before := s.Version
 	s.Version = max(s.Version, c.Version)
-	if old != nil && !same {
+	if old != nil && (!same || s.Version.Era() != before.Era()) {
 		// The version of a deletion is not known here.
 		s.ChangedVersion = s.Version
 	}
 	return s
 }
 
+// withEra returns a snapshot whose content has changed since another one, at a time. Rows
+// that are missing from a copy of the store may be written again, as after an outage.
+func (s Snapshot) withEra(before Snapshot, now time.Time) Snapshot {
+	if before.Loaded() && s.Version.Era() != before.Version.Era() {
+		s.OutageEndedAt = now
+	}
+	return s
+}
+
 // withChanges returns a snapshot with changes applied.
 func (s Snapshot) withChanges(c transactor.Changes) Snapshot {
 	if len(c.Rows) == 0 {
@@ -158,7 +169,7 @@
 	MarkFailed(address string)
 	// Follow receives content from the node at an address until ctx is done or the
 	// stream breaks.
-	Follow(ctx context.Context, address, prefix string, changed uint64, take func(courier.TableContent)) error
+	Follow(ctx context.Context, address, prefix string, changed transactor.Version, take func(courier.TableContent)) error
 }
 
 // Follower keeps a copy of the rows whose keys have one prefix.
@@ -252,7 +263,7 @@
 	switch {
 	case coder.Is(err, coder.HistoryGone):
 		f.lastRead = time.Time{}
-		f.Log.Info().Str("table", f.Prefix).Uint64("version", s.Version).Msg("change history gone; reading the whole table again")
+		f.Log.Info().Str("table", f.Prefix).Stringer("version", s.Version).Msg("change history gone; reading the whole table again")
 		return nil
 	case err != nil && errors.Is(context.Cause(ctx), errOtherCallFailed):
 		// A read shows sooner than a watch whether the store is available.
@@ -316,7 +327,7 @@
 			f.Log.Info().Str("table", f.Prefix).Dur("away-ms", now.Sub(s.UnavailableSince)).Msg("store available again")
 			s.AvailableSince = now
 		}
-		return change(s)
+		return change(s).withEra(s, now)
 	})
 	if recovered && f.OnAvailable != nil {
 		f.OnAvailable()
@@ -362,7 +373,7 @@
 	f.update(func(s Snapshot) Snapshot {
 		if !s.Unavailable() {
 			s.ReachableAt = f.Reachability.reachableAt(s.ConfirmedAt)
-			f.Log.Warn().Str("table", f.Prefix).Uint64("version", s.Version).Err(err).Msg("store unavailable")
+			f.Log.Warn().Str("table", f.Prefix).Stringer("version", s.Version).Err(err).Msg("store unavailable")
 			s.UnavailableSince = now
 			if s.AvailableSince.Equal(now) {
 				s.UnavailableSince = now.Add(1)
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -126,7 +125,13 @@
 			if d.HasArg("drops-history") {
 				s.dropped = s.version
 			}
+			if d.HasArg("copied") {
+				s.copied = storeCopy{rows: slices.Clone(s.rows), version: s.version}
+			}
 		})
+		if d.HasArg("restored") {
+			c.store.restore()
+		}
 	case "refuse", "accept":
 		c.nodes[d.CmdArgs[0].Key].set(func(n *node) { n.refused = d.Cmd == "refuse" })
 	case "hang", "answer":
@@ -179,7 +184,7 @@
 		s := c.nodes[name].follower.Snapshot()
 		var keys []string
 		for _, r := range s.Rows() {
-			keys = append(keys, strings.TrimPrefix(r.Key, "t/")+"@"+strconv.FormatUint(r.Version, 10))
+			keys = append(keys, strings.TrimPrefix(r.Key, "t/")+"@"+r.Version.String())
 		}
 		_, _ = fmt.Fprintf(&out, "%s: [%s]", name, strings.Join(keys, " "))
 		if !s.Loaded() {
@@ -272,7 +277,7 @@
 }
 
 // Follow follows the table from another node of the cluster.
-func (n *node) Follow(ctx context.Context, address, _ string, changed uint64, take func(courier.TableContent)) error {
+func (n *node) Follow(ctx context.Context, address, _ string, changed transactor.Version, take func(courier.TableContent)) error {
 	delayed := make(chan func(), maxDelayed)
 	var deliverer sync.WaitGroup
 	deliverer.Go(func() {
@@ -306,7 +311,7 @@
 }
 
 // Watch watches the store for the node.
-func (n *node) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (transactor.Changes, error) {
+func (n *node) Watch(ctx context.Context, _ string, after transactor.Version, wait time.Duration) (transactor.Changes, error) {
 	return n.cluster.store.watch(ctx, n, after, wait)
 }
 
@@ -324,6 +329,10 @@
 	rows    []transactor.Row
 	version uint64
 	dropped uint64
+	// era is the one that the versions belong to; copied is the copy from which the store
+	// comes back.
+	era     uint64
+	copied  storeCopy
 	calls   int
 	changed chan struct{}
 	// down refuses calls, hang leaves them without a response, missesChanges omits
@@ -331,6 +340,28 @@
 	down, hang, missesChanges bool
 }
 
+// storeCopy is the content of a store at a time.
+type storeCopy struct {
+	rows    []transactor.Row
+	version uint64
+}
+
+// label returns a version of the current era.
+func (s *fakeStore) label(number uint64) transactor.Version {
+	return transactor.NewVersion(s.era, number)
+}
+
+// restore lets the store come back from the copy.
+func (s *fakeStore) restore() {
+	s.set(func(s *fakeStore) {
+		s.era++
+		s.rows, s.version, s.dropped = slices.Clone(s.copied.rows), s.copied.version, 0
+		for i := range s.rows {
+			s.rows[i].Version = s.label(s.rows[i].Version.Number())
+		}
+	})
+}
+
 func (s *fakeStore) set(change func(*fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -344,7 +375,7 @@
 		s.version++
 		key := "t/" + key
 		s.rows = slices.DeleteFunc(s.rows, func(r transactor.Row) bool { return r.Key == key })
-		s.rows = append(s.rows, transactor.Row{Key: key, Version: s.version, Deleted: deleted})
+		s.rows = append(s.rows, transactor.Row{Key: key, Version: s.label(s.version), Deleted: deleted})
 	})
 }
 
@@ -389,7 +420,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := transactor.Changes{Version: s.version}
+	c := transactor.Changes{Version: s.label(s.version)}
 	for _, r := range s.rows {
 		if !r.Deleted {
 			c.Rows = append(c.Rows, r)
@@ -398,21 +429,21 @@
 	return c, nil
 }
 
-func (s *fakeStore) watch(ctx context.Context, n *node, after uint64, wait time.Duration) (transactor.Changes, error) {
+func (s *fakeStore) watch(ctx context.Context, n *node, after transactor.Version, wait time.Duration) (transactor.Changes, error) {
 	if err := s.begin(ctx, n, wait+callLimit); err != nil {
 		return transactor.Changes{}, err
 	}
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		c := transactor.Changes{Version: s.version}
+		c := transactor.Changes{Version: s.label(s.version)}
 		for _, r := range s.rows {
 			if r.Version > after && !s.missesChanges {
 				c.Rows = append(c.Rows, r)
 			}
 		}
 		_, hung := n.faults()
-		dropped, down, hang, next := after < s.dropped, s.down, s.hang || hung, s.changed
+		dropped, down, hang, next := after < s.label(s.dropped), s.down, s.hang || hung, s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
--- a/internal/store/follower/relay.go
+++ b/internal/store/follower/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/inner/courier"
 	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
@@ -94,6 +95,10 @@
 				return
 			}
 			// Even content that is too old may be newer than that of this node.
+			if err := f.checkEra(c); err != nil {
+				f.dropSource(address, "other era", err)
+				return
+			}
 			confirmed := c.ConfirmedAt(requested, f.Clock.Now())
 			f.applyContent(address, c, confirmed)
 			if f.Clock.Now().Sub(confirmed) > f.MaxAge {
@@ -139,12 +144,22 @@
 	f.Relay.MarkFailed(address)
 }
 
+// checkEra fails if the content of a source is of an earlier era than that of this node, or
+// has the changes to content of an era that this node does not have.
+func (f *Follower) checkEra(c courier.TableContent) error {
+	own, theirs := f.snapshot.Get().Version, c.Version
+	if theirs.Era() < own.Era() || theirs.Era() > own.Era() && !c.Complete {
+		return coder.New(coder.HistoryGone, "the content has version %v, that of this node %v", theirs, own)
+	}
+	return nil
+}
+
 // applyContent updates the snapshot by the content that the node at an address has
 // sent and that the store confirmed at a time.
 func (f *Follower) applyContent(address string, c courier.TableContent, confirmed time.Time) {
 	now := f.Clock.Now()
-	f.update(func(s Snapshot) Snapshot {
-		s = s.withConfirmed(confirmed, now)
+	f.update(func(before Snapshot) Snapshot {
+		s := before.withConfirmed(confirmed, now)
 		s.Source = address
 		if c.Age >= f.MaxAge {
 			// The other node has heard nothing of the store for as long.
@@ -163,12 +178,12 @@
 			s = s.withChanges(changes)
 		}
 		s.ChangedVersion = c.ChangedVersion
-		return s
+		return s.withEra(before, now)
 	})
 }
 
 // Serve sends the content to another node until ctx is done or send fails.
-func (f *Follower) Serve(ctx context.Context, changed uint64, send func(courier.TableContent) error) error {
+func (f *Follower) Serve(ctx context.Context, changed transactor.Version, send func(courier.TableContent) error) error {
 	var sent Snapshot
 	began := f.Clock.Now()
 	for ctx.Err() == nil {
@@ -216,8 +231,12 @@
 }
 
 // changesSince returns the changes since an older snapshot, or the whole content
-// if that was not loaded.
+// if that was not loaded or is of another era: the receiver may have rows of that era that
+// this node has never had.
 func (s Snapshot) changesSince(old Snapshot) courier.TableContent {
+	if old.Version.Era() != s.Version.Era() {
+		old = Snapshot{}
+	}
 	c := courier.TableContent{Complete: !old.Loaded(), Version: s.Version, ChangedVersion: s.ChangedVersion}
 	for key, r := range s.rows {
 		if before, ok := old.rows[key]; !ok || before.Version != r.Version {
--- a/internal/store/transactor/table.go
+++ b/internal/store/transactor/table.go
@@ -17,8 +17,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version is the number of the commit that last wrote the row, from 1.
-	Version uint64
+	// Version is that of the commit that last wrote the row, not 0.
+	Version Version
 	// Deleted means that the commit has deleted the row; only Changes contain such
 	// rows.
 	Deleted bool
@@ -29,7 +29,7 @@
 // Version 0 means that the row is absent.
 type Check struct {
 	Key     string
-	Version uint64
+	Version Version
 }
 
 // Write sets a row, or deletes it.
@@ -48,7 +48,7 @@
 }
 
 // WithCheck returns a copy that also requires the row to have this version.
-func (t Tx) WithCheck(key string, version uint64) Tx {
+func (t Tx) WithCheck(key string, version Version) Tx {
 	t.checks = append(t.checks[:len(t.checks):len(t.checks)], Check{Key: key, Version: version})
 	return t
 }
@@ -87,16 +87,17 @@
 	// than after, in the order of their keys.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit runs a transaction and returns the version of the rows it wrote.
-	// PlatformConflict: a check did not hold, nothing was written.
+	// PlatformConflict: a check did not hold, nothing was written. A check with a version
+	// of an earlier era never holds.
 	// PlatformUnsure: the transaction may have taken effect.
-	Commit(ctx context.Context, tx Tx) (uint64, error)
+	Commit(ctx context.Context, tx Tx) (Version, error)
 }
 
 // Changes are rows in the order of their versions.
 type Changes struct {
 	Rows []Row
 	// Version is the newest version that the store had.
-	Version uint64
+	Version Version
 	// StoreClock is a reading of the store's steady clock.
 	StoreClock time.Duration
 }
@@ -107,8 +108,9 @@
 	Read(ctx context.Context, prefix string) (Changes, error)
 	// Watch returns the rows with the prefix that have changed after a version.
 	// It waits for a change, but not longer than the given time.
-	// HistoryGone: the store no longer has all changes after the version.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+	// HistoryGone: the store no longer has all changes after the version, or is in another
+	// era by now.
+	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
 }
 
 // ScanAll returns all rows with the prefix, page by page.
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -82,7 +82,7 @@
 
 // leaseState is the state of the holder under its current lease.
 type leaseState struct {
-	epoch uint64
+	epoch transactor.Version
 	// closed has the stored figures of closed windows, reported the windows whose
 	// reports were received or are given up.
 	closed   map[int64]map[courier.Meter]int
--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -98,7 +98,7 @@
 type limitedTable struct{ transactor.Table }
 
 // Commit runs a transaction.
-func (l limitedTable) Commit(ctx context.Context, tx transactor.Tx) (uint64, error) {
+func (l limitedTable) Commit(ctx context.Context, tx transactor.Tx) (transactor.Version, error) {
 	for _, write := range tx.Writes() {
 		if len(write.Value) > rowBytes {
 			return 0, coder.Refuse(coder.PlatformRefused, "a row has %d bytes", len(write.Value))
