leaser, reporter, lister, quarantiner: duties and what has left survive a store that comes back from a copy

Cause: what the nodes keep in the store was taken for all that ever was written there.

Change: a fencing token has the era of the store above the count of takeovers. A holder whose lease no other node can have taken yet, by its own clock, writes lease and epoch rows again and keeps its token; a lease row of an earlier era is waited for in full, whatever it says. The reporter keeps the figures that it knows and stores them again; the first holder of an era closes no window that an earlier one may have closed. The lister compares entries of one start of an endpoint by their sequence across eras and remembers endpoints that have left for 5 min. A pattern whose row the store has lost stays in force and is stored again. The director counts a tenure by its token, as the epoch may change within one.

Measured: restored scripts of leaser, reporter, lister and quarantiner are new; that of the quarantiner failed before.

--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -58,6 +58,8 @@
 	// expiresAt is when the lease can no longer be trusted if the commit took
 	// effect.
 	expiresAt time.Time
+	// writesEpoch means that the commit also writes the epoch row.
+	writesEpoch bool
 }
 
 // duty is what this node knows of one duty.
@@ -76,6 +78,10 @@
 	// one that did.
 	interrupted bool
 	resumedAt   time.Time
+	// era is the newest era of the store that is known, 0 before the first read. eraSince is
+	// when this node saw it begin; zero if it was the first that it saw.
+	era      uint64
+	eraSince time.Time
 	// held says that the row is this node's lease; epoch, takenAt and expiresAt
 	// belong to it.
 	held      bool
@@ -126,28 +132,65 @@
 	return d
 }
 
+// rowLostSince returns since when this node has known that the lease row may be older than
+// the last lease: the store has begun an era, in which no lease was taken yet. The zero time
+// means that it is not so.
+func (d duty) rowLostSince() time.Time {
+	if tokenEra(d.row.token) == d.era || d.row.token == 0 && d.eraSince.IsZero() {
+		return time.Time{}
+	}
+	if d.rowSince.After(d.eraSince) {
+		return d.rowSince
+	}
+	return d.eraSince
+}
+
 // withInterruption returns a copy for which a call to the store failed without effect.
 func (d duty) withInterruption() duty {
 	d.interrupted = true
 	return d
 }
 
+// withEra returns a copy that knows the era of the store at the given time.
+func (d duty) withEra(era uint64, at time.Time) duty {
+	if d.era != era && d.era != 0 {
+		d.eraSince = at
+	}
+	d.era = era
+	return d
+}
+
 // withTakeover returns a copy whose takeover is known to have taken effect.
 func (d duty) withTakeover(pc pendingCommit, version transactor.Version) duty {
-	d.held, d.epoch, d.takenAt = true, version, pc.sent
+	d.held, d.takenAt = true, pc.sent
 	return d.withRenewal(pc, version)
 }
 
+// withRowLost returns a copy of a held lease whose row the store has lost, or has as it was
+// before; the next renewal writes it again.
+func (d duty) withRowLost(l lease, version transactor.Version) duty {
+	d.row.heartbeat = max(d.row.heartbeat, l.heartbeat)
+	d.version, d.pending = version, nil
+	return d
+}
+
+// epochLost reports whether the epoch row of a held lease is of another era than its lease
+// row.
+func (d duty) epochLost() bool { return d.epoch.Era() != d.version.Era() }
+
 // withRenewal returns a copy whose renewal is known to have taken effect.
 func (d duty) withRenewal(pc pendingCommit, version transactor.Version) duty {
 	d.row, d.version, d.rowKnown, d.pending = pc.lease, version, true, nil
 	d.expiresAt = pc.expiresAt
+	if pc.writesEpoch {
+		d.epoch = version
+	}
 	return d
 }
 
 // withLoss returns a copy that no longer has the lease.
 func (d duty) withLoss() duty {
-	return duty{dueAt: d.dueAt, closed: d.closed, lastHeartbeat: d.lastHeartbeat}
+	return duty{dueAt: d.dueAt, closed: d.closed, lastHeartbeat: d.lastHeartbeat, era: d.era, eraSince: d.eraSince}
 }
 
 func (d duty) withClosed() duty {
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -64,6 +64,9 @@
 	Name string
 	// Times are the times of the leases; the zero value means DefaultTimes.
 	Times Times
+	// Era returns the newest era of the table that is known, as of the last response; nil
+	// means that the table has no eras.
+	Era func() uint64
 	// IsEarlierStart reports whether a holder is an earlier start of this
 	// process, which no longer runs; nil means that this is not known.
 	IsEarlierStart func(holder string) bool
@@ -95,6 +98,24 @@
 	return pendingCommit{lease: c, sent: sent, expiresAt: sent.Add(times.Duration - times.Margin)}
 }
 
+// transaction returns the commit as a transaction, if the lease row has a version.
+func (pc pendingCommit) transaction(name string, version transactor.Version) transactor.Tx {
+	content := encodeLease(pc.lease)
+	tx := transactor.Tx{}.WithCheck(RowKey(name), version).WithPut(RowKey(name), content)
+	if pc.writesEpoch {
+		tx = tx.WithPut(EpochKey(name), content)
+	}
+	return tx
+}
+
+// era returns the newest era of the table that is known.
+func (l *Leaser) era() uint64 {
+	if l.Era == nil {
+		return 0
+	}
+	return l.Era()
+}
+
 // Grant returns the current lease of a duty; false if this node has none.
 func (l *Leaser) Grant(name string) (Grant, bool) {
 	d, ok := l.Duties.Get(name)
@@ -250,10 +271,9 @@
 // held the duty in between.
 func (l *Leaser) renew(ctx context.Context, name string, d duty) duty {
 	pc := l.newCommit(lease{holder: l.Name, token: d.row.token, heartbeat: d.nextHeartbeat()})
+	pc.writesEpoch = d.epochLost()
 	d = d.withSent(pc)
-	version, err := l.Table.Commit(ctx, transactor.Tx{}.
-		WithCheck(RowKey(name), d.version).
-		WithPut(RowKey(name), encodeLease(pc.lease)))
+	version, err := l.Table.Commit(ctx, pc.transaction(name, d.version))
 	if err != nil {
 		l.Log.Warn().Str("duty", name).Err(err).Msg("cannot renew lease")
 		return l.afterFailure(d, pc, err)
@@ -300,9 +320,17 @@
 	if err != nil {
 		return d.withDueAt(now.Add(l.jitter(retryDelay)))
 	}
+	before := d
+	d = d.withEra(l.era(), now)
+	if d.era != before.era && d.held {
+		return l.keepOverEra(name, d, row, version, now)
+	}
 	for _, pc := range d.pending {
 		switch {
 		case pc.lease != row:
+		case !d.held && tokenEra(row.token) != d.era:
+			// The takeover has taken effect after the store had come back. Another node may
+			// have used its token before.
 		case d.held:
 			return d.withRenewal(pc, version).withDueAt(pc.sent.Add(l.times().RenewInterval))
 		default:
@@ -322,6 +350,19 @@
 	return d.withoutPending().withRow(row, version, now).withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
 }
 
+// keepOverEra returns the state of a held lease when the store has come back from an older
+// copy, whose row says nothing of the holders since. No other node takes a lease earlier than
+// Duration and Margin after its last renewal, so until then this node still has the duty, and
+// writes its row again.
+func (l *Leaser) keepOverEra(name string, d duty, row lease, version transactor.Version, now time.Time) duty {
+	if takeoverAt := d.expiresAt.Add(2 * l.times().Margin); now.Before(takeoverAt) && row.token <= d.row.token {
+		l.Log.Info().Str("duty", name).Uint64("fencing-token", d.row.token).Uint64("era", d.era).Msg("lease kept; the store has come back from an older copy")
+		return d.withRowLost(row, version).withDueAt(now)
+	}
+	l.Log.Warn().Str("duty", name).Uint64("fencing-token", d.row.token).Uint64("era", d.era).Msg("lease lost; the store has come back from an older copy")
+	return d.withLoss().withRow(row, version, now).withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
+}
+
 // checkHolder reads the lease of another process and takes it over once it has
 // ended.
 func (l *Leaser) checkHolder(ctx context.Context, name string, rank int, d duty) duty {
@@ -332,7 +373,7 @@
 	if err != nil {
 		return d.withInterruption().withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
 	}
-	d = d.withRow(row, version, now)
+	d = d.withEra(l.era(), now).withRow(row, version, now)
 	due := l.takeoverDue(rank, d)
 	if now.Before(due) {
 		next := now.Add(l.times().PollInterval)
@@ -347,6 +388,11 @@
 // takeoverDue returns when this node may take a duty over whose row stays as it is.
 func (l *Leaser) takeoverDue(rank int, d duty) time.Time {
 	delay, times := time.Duration(rank)*rankDelay, l.times()
+	if since := d.rowLostSince(); !since.IsZero() {
+		// The row is that of a copy: its holder may have had a successor, whose lease the
+		// store has lost.
+		return since.Add(times.Duration + times.Margin + delay)
+	}
 	switch {
 	case d.row.holder == "":
 		return d.rowSince.Add(delay)
@@ -365,16 +411,17 @@
 }
 
 func (l *Leaser) takeOver(ctx context.Context, name string, d duty) duty {
-	pc := l.newCommit(lease{holder: l.Name, token: d.row.token + 1, heartbeat: d.nextHeartbeat()})
+	pc := l.newCommit(lease{holder: l.Name, token: nextToken(d.row.token, d.era), heartbeat: d.nextHeartbeat()})
+	pc.writesEpoch = true
 	d = d.withSent(pc)
-	content := encodeLease(pc.lease)
-	version, err := l.Table.Commit(ctx, transactor.Tx{}.
-		WithCheck(RowKey(name), d.version).
-		WithPut(RowKey(name), content).
-		WithPut(EpochKey(name), content))
+	version, err := l.Table.Commit(ctx, pc.transaction(name, d.version))
 	if err != nil {
 		return l.afterFailure(d, pc, err)
 	}
+	if version.Era() != tokenEra(pc.lease.token) {
+		// The store has come back meanwhile.
+		return d.withPending(pc).withDueAt(l.Clock.Now())
+	}
 	l.Log.Info().Str("duty", name).Uint64("fencing-token", pc.lease.token).Msg("lease taken")
 	return d.withTakeover(pc, version).withDueAt(pc.sent.Add(l.times().RenewInterval))
 }
--- a/internal/authority/leaser/leaser_test.go
+++ b/internal/authority/leaser/leaser_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"foxtailflow.example/foxtailflow/internal/base/coder"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/lab/provider"
+	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // cluster runs several nodes that watch the duty "d" on one in-memory platform.
@@ -22,6 +24,10 @@
 	memory *provider.Memory
 	nodes  map[string]*Leaser
 	paused map[string]bool
+	// copied is the copy from which the platform's table comes back.
+	copied provider.Copy
+	// holders has the holder of each fencing token that was ever in use.
+	holders map[string]string
 }
 
 func (c *cluster) add(name string, rank int) {
@@ -31,13 +37,14 @@
 		Name:          name,
 		WatchedDuties: func() map[string]int { return map[string]int{"d": rank} },
 		Random:        func() float64 { return 0.5 },
+		Era:           c.memory.Era,
 	}
 }
 
 func (c *cluster) names() []string { return slices.Sorted(maps.Keys(c.nodes)) }
 
 // run advances the clock and runs the nodes that are not paused. It fails if two
-// nodes hold the lease.
+// nodes hold the lease, or have held it with one fencing token.
 func (c *cluster) run(t *testing.T, d time.Duration) {
 	for end := c.clock.Now().Add(d); c.clock.Now().Before(end); c.clock.Advance(StepInterval) {
 		for _, n := range c.names() {
@@ -48,6 +55,17 @@
 		if held := c.held(); len(held) > 1 {
 			t.Fatalf("two nodes hold the lease: %v", held)
 		}
+		c.checkTokens(t)
+	}
+}
+
+func (c *cluster) checkTokens(t *testing.T) {
+	for _, text := range c.held() {
+		holder, token, _ := strings.Cut(text, " ")
+		if other, ok := c.holders[token]; ok && other != holder {
+			t.Fatalf("%s and %s have held the lease with %s", other, holder, token)
+		}
+		c.holders[token] = holder
 	}
 }
 
@@ -55,7 +73,7 @@
 	var held []string
 	for _, n := range c.names() {
 		for _, g := range c.nodes[n].Held() {
-			held = append(held, fmt.Sprintf("%s fencing-token=%d", n, g.Token))
+			held = append(held, fmt.Sprintf("%s fencing-token=%s", n, tokenText(g.Token)))
 		}
 	}
 	return held
@@ -81,6 +99,12 @@
 		delete(c.nodes, arg(0))
 		c.add(start, 0)
 		c.nodes[start].IsEarlierStart = func(holder string) bool { return holder != start && strings.HasPrefix(holder, name+".") }
+	case "copy":
+		c.copied = c.memory.Copy()
+	case "restore":
+		c.memory.Restore(c.copied)
+	case "guard":
+		return c.commitGuarded(arg(0))
 	case "hurry":
 		c.nodes[arg(0)].MakeDue()
 	case "pause", "resume":
@@ -99,6 +123,23 @@
 	return "no holder\n"
 }
 
+// tokenText returns a fencing token with its era, if it has one.
+func tokenText(token uint64) string {
+	return transactor.NewVersion(tokenEra(token), token&(1<<tokenBits-1)).String()
+}
+
+// commitGuarded has a node commit what only the holder of the duty may.
+func (c *cluster) commitGuarded(name string) string {
+	g, ok := c.nodes[name].Grant("d")
+	if !ok {
+		return "no lease\n"
+	}
+	if _, err := c.memory.Commit(context.Background(), g.Guard(transactor.Tx{}.WithPut("x", nil))); err != nil {
+		return fmt.Sprintf("%d\n", coder.FromError(err).Code())
+	}
+	return "done\n"
+}
+
 // TestScripts guards against two nodes that trust the lease of a duty at the same
 // time, and against a duty that stays without a holder after a pause, an outage,
 // lost responses or a restart.
@@ -109,7 +150,7 @@
 			clock:  clock,
 			memory: &provider.Memory{Clock: clock},
 			nodes:  make(map[string]*Leaser),
-			paused: make(map[string]bool),
+			paused: make(map[string]bool), holders: make(map[string]string),
 		}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return c.do(t, d) })
 	})
--- a/internal/fleet/director/director.go
+++ b/internal/fleet/director/director.go
@@ -24,7 +24,6 @@
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/explainer"
 	"foxtailflow.example/foxtailflow/internal/decision/picker"
-	"foxtailflow.example/foxtailflow/internal/store/transactor"
 )
 
 // Duty returns the name of the duty of directing the endpoints of a deployment.
@@ -146,7 +145,8 @@
 
 // holderState is the state that the holder of a deployment's duty keeps.
 type holderState struct {
-	epoch transactor.Version
+	// token is the fencing token of the tenure.
+	token uint64
 	// superseded says that an order was refused because of a newer fencing token:
 	// another node has taken the duty over, even if the lease of this node is
 	// still valid.
@@ -224,9 +224,9 @@
 		r.states = make(map[string]*holderState)
 	}
 	st, ok := r.states[deployment]
-	if !ok || st.epoch != g.Epoch {
+	if !ok || st.token != g.Token {
 		st = &holderState{
-			epoch:     g.Epoch,
+			token:     g.Token,
 			ordered:   make(map[placement]orderedCount),
 			refusedAt: make(map[string]time.Time),
 			changing:  make(map[string]roleChange),
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -46,6 +46,56 @@
 	rows map[string]entry
 	// missing has the endpoints whose entries are missing after an outage.
 	missing map[string]missingVM
+	// known has the newest entry of each endpoint, also of those that have left lately.
+	known map[string]knownVM
+}
+
+// knownVM is the newest entry of an endpoint that was ever read. A store that comes back from
+// an older copy has older entries again, also of endpoints that have left.
+type knownVM struct {
+	vm supplier.VM
+	// era is the era of the store in which the entry was read.
+	era uint64
+	// goneAt is since when the endpoint has not been listed, goneEra the era at that time;
+	// the zero time means that it is listed.
+	goneAt  time.Time
+	goneEra uint64
+}
+
+// knownLifetime is how long an endpoint that has left is remembered. It is longer than the
+// time by which a copy of the store may be older.
+const knownLifetime = 5 * time.Minute
+
+// newest returns which of an entry that was read in an era and the known one is newer, and
+// whether the endpoint is still there.
+func (k knownVM) newest(vm supplier.VM, era uint64) (newest supplier.VM, listed bool) {
+	switch {
+	case k.vm.ID == "" || era <= k.era || vm.Revision > k.vm.Revision:
+		return vm, true
+	case !k.goneAt.IsZero() && k.goneEra < era:
+		return k.vm, false
+	case !k.goneAt.IsZero():
+		return vm, true
+	case vm.Revision == k.vm.Revision && k.vm.State != supplier.Leaving:
+		return vm, true
+	}
+	return k.vm, true
+}
+
+// withKnown returns the list with the newest entries known by a time in an era.
+func (l list) withKnown(before map[string]knownVM, now time.Time, era uint64) list {
+	for id, k := range before {
+		if _, ok := l.known[id]; ok {
+			continue
+		}
+		if k.goneAt.IsZero() {
+			k.goneAt, k.goneEra = now, era
+		}
+		if now.Sub(k.goneAt) < knownLifetime {
+			l.known[id] = k
+		}
+	}
+	return l
 }
 
 // missingVM is an endpoint whose entry is missing, and until when it counts as listed. A
@@ -107,7 +157,7 @@
 func (l *Lister) decodeChanged(before list, s follower.Snapshot, now time.Time) list {
 	out := list{
 		changed: s.ChangedVersion, loaded: s.Loaded(), vms: make(map[string]supplier.VM),
-		rows: make(map[string]entry), missing: make(map[string]missingVM),
+		rows: make(map[string]entry), missing: make(map[string]missingVM), known: make(map[string]knownVM),
 	}
 	for _, row := range s.Rows() {
 		e, ok := before.rows[row.Key]
@@ -121,7 +171,16 @@
 		if e.err != nil {
 			continue
 		}
-		vm := e.vm
+		era := row.Version.Era()
+		known := before.known[e.vm.ID]
+		vm, listed := known.newest(e.vm, era)
+		if !listed {
+			continue
+		}
+		if vm == e.vm {
+			known = knownVM{vm: vm, era: era}
+		}
+		out.known[vm.ID] = known
 		if old, ok := before.vms[vm.ID]; !ok || old != vm {
 			l.Log.Info().Str("endpoint", vm.ID).Str("address", vm.Address).Str("deployment", vm.Deployment).
 				Str("state", string(vm.State)).Str("role", vm.Role).Stringer("version", row.Version).Msg("endpoint listed")
@@ -130,7 +189,7 @@
 	}
 	for id, m := range before.missing {
 		if _, ok := out.vms[id]; !ok {
-			out.missing[id] = m
+			out.missing[id], out.known[id] = m, before.known[id]
 		}
 	}
 	until := s.OutageEndedAt.Add(l.RewriteTimeout)
@@ -141,8 +200,9 @@
 		mayHaveExpired := now.Before(until)
 		if mayHaveExpired {
 			out.missing[id] = missingVM{vm: vm, until: until}
+			out.known[id] = before.known[id]
 		}
 		l.Log.Info().Str("endpoint", id).Bool("may-have-lapsed", mayHaveExpired).Stringer("version", s.ChangedVersion).Msg("endpoint no longer listed")
 	}
-	return out
+	return out.withKnown(before.known, now, s.Version.Era())
 }
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +21,8 @@
 
 // TestScripts guards against endpoints that are dropped because their entries
 // expired in an outage, against endpoints that stay listed after they have left,
-// and against a malformed entry that affects others.
+// against a malformed entry that affects others, and against endpoints that have left, or
+// are leaving, and are back as live with an older copy of the store.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		clock := timekeeper.NewFake(time.Unix(1000, 0))
@@ -41,6 +43,11 @@
 			case "entries":
 				entries = d.Input
 				version++
+			case "restored":
+				// The store comes back from a copy with these entries.
+				entries = d.Input
+				version = transactor.NewVersion(version.Era()+1, 1)
+				resumed = clock.Now()
 			case "resumed":
 				resumed = clock.Now()
 			case "wait":
@@ -73,10 +80,18 @@
 	return rows
 }
 
-// decode takes the value of a row as the endpoint's state.
+// decode takes the value of a row as the endpoint's state and the revision of the entry.
 func decode(r transactor.Row) (supplier.VM, error) {
 	if string(r.Value) == "broken" {
 		return supplier.VM{}, coder.New(coder.PlatformRefused, "malformed")
 	}
-	return supplier.VM{ID: strings.TrimPrefix(r.Key, "servers/"), State: supplier.VMState(r.Value)}, nil
+	state, revision, _ := strings.Cut(string(r.Value), ":")
+	vm := supplier.VM{ID: strings.TrimPrefix(r.Key, "servers/"), State: supplier.VMState(state)}
+	if revision != "" {
+		var err error
+		if vm.Revision, err = strconv.ParseUint(revision, 10, 64); err != nil {
+			return vm, err
+		}
+	}
+	return vm, nil
 }
--- a/internal/fleet/supplier/supplier.go
+++ b/internal/fleet/supplier/supplier.go
@@ -43,6 +43,9 @@
 	WarmupRemaining time.Duration
 	// LeavesIn is the time until a leaving endpoint stops; 0 means unknown.
 	LeavesIn time.Duration
+	// Revision grows with the entries that one start of the endpoint writes; 0 means
+	// unknown.
+	Revision uint64
 }
 
 // VMs is the list of VMs.
--- a/internal/lab/provider/memory.go
+++ b/internal/lab/provider/memory.go
@@ -172,6 +172,11 @@
 		m.droppedVersion = m.changes[excess-1].Version
 		m.changes = slices.Clone(m.changes[excess:])
 	}
+	m.signalLocked()
+}
+
+// signalLocked wakes the watches.
+func (m *Memory) signalLocked() {
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
--- a/internal/node/composer/duties.go
+++ b/internal/node/composer/duties.go
@@ -86,6 +86,7 @@
 		Name:          n.startID(),
 		Times:         leaseTimes(n.settings.LeaseDuration),
 		WatchedDuties: n.watchedDuties,
+		Era:           n.ports.StoreEra,
 		IsEarlierStart: func(holder string) bool {
 			return holder != n.startID() && strings.HasPrefix(holder, n.settings.ID+".")
 		},
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -137,7 +137,11 @@
 	case "store":
 		h.store.down = d.HasArg("down")
 		h.stores = !d.HasArg("other-node")
-	case "removed":
+	case "removed", "restored":
+		if d.Cmd == "restored" {
+			// The store comes back from a copy without the rows.
+			h.store.version = transactor.NewVersion(h.store.version.Era()+1, 0)
+		}
 		clear(h.store.rows)
 		h.follow()
 	case "list":
--- a/internal/request/quarantiner/rows.go
+++ b/internal/request/quarantiner/rows.go
@@ -31,7 +31,8 @@
 type storedPattern struct {
 	pattern   attributor.Pattern
 	endpoints []string
-	version   transactor.Version
+	// version is 0 if the store has lost the row.
+	version transactor.Version
 	// seenAt is when this node first saw the version.
 	seenAt time.Time
 }
@@ -64,7 +65,8 @@
 	return err
 }
 
-// Apply takes the stored patterns. If a row was removed, its parts are cleared.
+// Apply takes the stored patterns. If a row was removed, its parts are cleared. One that the
+// store has lost, as it has come back from an older copy, stays in force and is stored again.
 func (q *Quarantine) Apply(s follower.Snapshot) {
 	if !s.Loaded() {
 		return
@@ -86,6 +88,12 @@
 		stored.seenAt = now
 		after[key] = stored
 	}
+	for key, old := range before {
+		if _, ok := after[key]; !ok && old.version.Era() < s.Version.Era() {
+			old.version = 0
+			after[key] = old
+		}
+	}
 	q.rows.Update(func(map[string]storedPattern) (map[string]storedPattern, bool) { return after, true })
 	for key, old := range before {
 		if _, ok := after[key]; !ok {
@@ -118,6 +126,8 @@
 		used, _ := q.refusals.Get(key)
 		_, refuted := q.refuted.Get(key)
 		switch age := now.Sub(row.seenAt); {
+		case row.version == 0 && stores && !refuted:
+			commit(tx.WithPut(KeyPrefix+key, encode(row.pattern, row.endpoints)))
 		case refuted:
 			commit(tx.WithDelete(KeyPrefix + key))
 		case used.After(row.seenAt) && age >= refreshTime:
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -78,6 +78,12 @@
 	// mu is held by Run and Save, which may be called at the same time.
 	mu    sync.Mutex
 	state leaseState
+	// known has the closed windows that this process has read or stored. Unlike state, it
+	// outlives a lease, as the store may lose the rows.
+	known knownWindows
+	// skippedFor is the fencing token under which windows were skipped that the store may
+	// have lost.
+	skippedFor uint64
 }
 
 // leaseState is the state of the holder under its current lease.
@@ -173,6 +179,9 @@
 	if state.newestClosed, err = c.loadNewestClosed(ctx); err != nil {
 		return err
 	}
+	if err := c.restoreLost(ctx, g, &state); err != nil {
+		return err
+	}
 	rows, err = transactor.ScanAll(ctx, c.Table, openPrefix)
 	if err != nil {
 		return err
@@ -277,11 +286,13 @@
 			return err
 		}
 		c.state.closed[window], c.state.newestClosed = counts, window
+		c.known = c.known.with(window, counts, g.Epoch.Era())
 	}
 	if err := c.Receiver.ReportUsage(ctx, g, window, counts); err != nil {
 		return err
 	}
 	c.state.reported[window] = true
+	c.known = c.known.withReported(window)
 	requests, accounts := 0, make(map[string]bool)
 	for m, n := range counts {
 		accounts[m.Account] = true
@@ -320,6 +331,7 @@
 		delete(c.state.closed, window)
 		delete(c.state.reported, window)
 	}
+	c.known = c.known.without(old)
 	return nil
 }
 
--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -53,6 +53,8 @@
 	losesResponses bool
 	// late is how long after its end a window can be reported.
 	late time.Duration
+	// copied is the copy from which the store comes back.
+	copied provider.Copy
 }
 
 type node struct {
@@ -153,6 +155,12 @@
 		return ""
 	case "hold":
 		c.take(t, d.CmdArgs[0].Key)
+	case "copy":
+		c.copied = c.memory.Copy()
+	case "restore":
+		c.memory.Restore(c.copied)
+	case "keep":
+		c.keep(t)
 	case "crash":
 		delete(c.nodes, d.CmdArgs[0].Key)
 	case "leave":
@@ -246,7 +254,18 @@
 	}
 	c.node(name)
 	c.holder = name
-	c.grant = leaser.Grant{Duty: reporter.Duty, Token: c.grant.Token + 1, Epoch: version}
+	// The first takeover of an era has a token above all earlier ones.
+	token := max(c.grant.Token+1, c.memory.Era()<<32+1)
+	c.grant = leaser.Grant{Duty: reporter.Duty, Token: token, Epoch: version}
+}
+
+// keep lets the holder write the epoch row again that the store has lost, as the leaser does.
+func (c *cluster) keep(t *testing.T) {
+	version, err := c.memory.Commit(t.Context(), transactor.Tx{}.WithPut(leaser.EpochKey(reporter.Duty), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.grant.Epoch = version
 }
 
 // meter returns the meter of a client account's requests.
