--- a/internal/usage/reporter/reporter_test.go
+++ b/internal/usage/reporter/reporter_test.go
@@ -155,12 +155,8 @@
 		return ""
 	case "hold":
 		c.take(t, d.CmdArgs[0].Key)
-	case "copy":
-		c.copied = c.memory.Copy()
-	case "restore":
-		c.memory.Restore(c.copied)
-	case "keep":
-		c.keep(t)
+	case "copy", "restore", "keep":
+		c.changeStore(t, d.Cmd)
 	case "crash":
 		delete(c.nodes, d.CmdArgs[0].Key)
 	case "leave":
@@ -259,6 +255,18 @@
 	c.grant = leaser.Grant{Duty: reporter.Duty, Token: token, Epoch: version}
 }
 
+// changeStore copies the store, or lets it come back from the copy.
+func (c *cluster) changeStore(t *testing.T, cmd string) {
+	switch cmd {
+	case "copy":
+		c.copied = c.memory.Copy()
+	case "restore":
+		c.memory.Restore(c.copied)
+	case "keep":
+		c.keep(t)
+	}
+}
+
 // keep lets the holder write the epoch row again that the store has lost, as the leaser does.
 func (c *cluster) keep(t *testing.T) {
 	version, err := c.memory.Commit(t.Context(), transactor.Tx{}.WithPut(leaser.EpochKey(reporter.Duty), nil))
