leaser: a holder keeps its lease if the store had come back before any other node could take it

Cause: the lease was given up if the holder learned of the return later than its lease could have been taken, although the return itself was earlier, and nobody takes a lease of the new era before a whole duration.

Change: the adapter says when the process first heard of the era.

--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -78,9 +78,10 @@
 	// one that did.
 	interrupted bool
 	resumedAt   time.Time
-	// era is the newest era of the store that is known, 0 before the first read. eraSince is
-	// when this node saw it begin; zero if it was the first that it saw.
+	// era is the newest era of the store that is known, if eraKnown is set. eraSince is
+	// when this process first heard of it; zero if it was the first.
 	era      uint64
+	eraKnown bool
 	eraSince time.Time
 	// held says that the row is this node's lease; epoch, takenAt and expiresAt
 	// belong to it.
@@ -151,12 +152,13 @@
 	return d
 }
 
-// withEra returns a copy that knows the era of the store at the given time.
-func (d duty) withEra(era uint64, at time.Time) duty {
-	if d.era != era && d.era != 0 {
-		d.eraSince = at
+// withEra returns a copy that knows the era of the store, of which this process has heard
+// since a time.
+func (d duty) withEra(era uint64, since time.Time) duty {
+	if d.era != era && d.eraKnown {
+		d.eraSince = since
 	}
-	d.era = era
+	d.era, d.eraKnown = era, true
 	return d
 }
 
@@ -190,7 +192,7 @@
 
 // withLoss returns a copy that no longer has the lease.
 func (d duty) withLoss() duty {
-	return duty{dueAt: d.dueAt, closed: d.closed, lastHeartbeat: d.lastHeartbeat, era: d.era, eraSince: d.eraSince}
+	return duty{dueAt: d.dueAt, closed: d.closed, lastHeartbeat: d.lastHeartbeat, era: d.era, eraKnown: d.eraKnown, eraSince: d.eraSince}
 }
 
 func (d duty) withClosed() duty {
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -64,9 +64,9 @@
 	Name string
 	// Times are the times of the leases; the zero value means DefaultTimes.
 	Times Times
-	// Era returns the newest era of the table that is known, as of the last response; nil
-	// means that the table has no eras.
-	Era func() uint64
+	// Era returns the newest era of the table that is known, and when this process first
+	// heard of it, by Clock; nil means that the table has no eras.
+	Era func() (era uint64, since time.Time)
 	// IsEarlierStart reports whether a holder is an earlier start of this
 	// process, which no longer runs; nil means that this is not known.
 	IsEarlierStart func(holder string) bool
@@ -108,10 +108,10 @@
 	return tx
 }
 
-// era returns the newest era of the table that is known.
-func (l *Leaser) era() uint64 {
+// era returns the newest era of the table that is known, and when it was first heard of.
+func (l *Leaser) era() (era uint64, since time.Time) {
 	if l.Era == nil {
-		return 0
+		return 0, time.Time{}
 	}
 	return l.Era()
 }
@@ -321,7 +321,7 @@
 		return d.withDueAt(now.Add(l.jitter(retryDelay)))
 	}
 	before := d
-	d = d.withEra(l.era(), now)
+	d = d.withEra(l.era())
 	if d.era != before.era && d.held {
 		return l.keepOverEra(name, d, row, version, now)
 	}
@@ -352,10 +352,10 @@
 
 // keepOverEra returns the state of a held lease when the store has come back from an older
 // copy, whose row says nothing of the holders since. No other node takes a lease earlier than
-// Duration and Margin after its last renewal, so until then this node still has the duty, and
-// writes its row again.
+// Duration and Margin after its last renewal. If the era had begun by then, this node still
+// has the duty, and writes its row again.
 func (l *Leaser) keepOverEra(name string, d duty, row lease, version transactor.Version, now time.Time) duty {
-	if takeoverAt := d.expiresAt.Add(2 * l.times().Margin); now.Before(takeoverAt) && row.token <= d.row.token {
+	if takeoverAt := d.expiresAt.Add(2 * l.times().Margin); d.eraSince.Before(takeoverAt) && row.token <= d.row.token {
 		l.Log.Info().Str("duty", name).Uint64("fencing-token", d.row.token).Uint64("era", d.era).Msg("lease kept; the store has come back from an older copy")
 		return d.withRowLost(row, version).withDueAt(now)
 	}
@@ -373,7 +373,7 @@
 	if err != nil {
 		return d.withInterruption().withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
 	}
-	d = d.withEra(l.era(), now).withRow(row, version, now)
+	d = d.withEra(l.era()).withRow(row, version, now)
 	due := l.takeoverDue(rank, d)
 	if now.Before(due) {
 		next := now.Add(l.times().PollInterval)
--- a/internal/authority/leaser/leaser_test.go
+++ b/internal/authority/leaser/leaser_test.go
@@ -25,7 +25,8 @@
 	nodes  map[string]*Leaser
 	paused map[string]bool
 	// copied is the copy from which the platform's table comes back.
-	copied provider.Copy
+	copied     provider.Copy
+	restoredAt time.Time
 	// holders has the holder of each fencing token that was ever in use.
 	holders map[string]string
 }
@@ -37,7 +38,7 @@
 		Name:          name,
 		WatchedDuties: func() map[string]int { return map[string]int{"d": rank} },
 		Random:        func() float64 { return 0.5 },
-		Era:           c.memory.Era,
+		Era:           func() (uint64, time.Time) { return c.memory.Era(), c.restoredAt },
 	}
 }
 
@@ -103,6 +104,7 @@
 		c.copied = c.memory.Copy()
 	case "restore":
 		c.memory.Restore(c.copied)
+		c.restoredAt = c.clock.Now()
 	case "guard":
 		return c.commitGuarded(arg(0))
 	case "hurry":
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -107,9 +107,9 @@
 type Ports struct {
 	Table transactor.Table
 	Feed  transactor.Feed
-	// StoreEra returns the newest era of the store that this node knows; nil means that the
-	// store has none.
-	StoreEra func() uint64
+	// StoreEra returns the newest era of the store that this node knows, and when it first
+	// heard of it, by the boot-time clock; nil means that the store has none.
+	StoreEra func() (era uint64, since time.Time)
 	Config   Configuration
 	// EndpointKeyPrefix is the key prefix of the rows with the endpoints' entries.
 	EndpointKeyPrefix string
