sharer, dispatcher: deployments share the workers of a node; a queued request ends at its deadline

Cause: one queue for all deployments, in order of arrival, in front of 256 workers, and a caller was answered only when a worker had taken its request. Class: one queue for what does not depend on each other.

Change: request/sharer hands out workers by deployment in rotation; one above its even share leaves a quarter of them idle.

--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -38,6 +38,7 @@
 	"foxtailflow.example/foxtailflow/internal/request/dispatcher"
 	"foxtailflow.example/foxtailflow/internal/request/forwarder"
 	"foxtailflow.example/foxtailflow/internal/request/quarantiner"
+	"foxtailflow.example/foxtailflow/internal/request/sharer"
 	"foxtailflow.example/foxtailflow/internal/store/follower"
 )
 
@@ -354,7 +355,7 @@
 func (n *Node) buildDispatcher() {
 	q := n.components.Queue
 	if q == nil {
-		q = make(queue, queueLimit)
+		q = &sharer.Queue[*dispatcher.Job]{Workers: n.settings.Workers, Limit: queueLimit, Deployments: n.deploymentCount}
 	}
 	n.dispatcher = &dispatcher.Dispatcher{
 		Clock:   n.clock,
@@ -384,6 +385,9 @@
 	}
 }
 
+// deploymentCount returns the number of deployments that requests are sent to.
+func (n *Node) deploymentCount() int { return len(n.config.Get().config.Deployments()) }
+
 // Do processes a request and writes the response to w.
 func (n *Node) Do(ctx context.Context, r carrier.Request, w carrier.ResponseWriter) carrier.Result {
 	return n.dispatcher.Do(ctx, r, w)
@@ -467,7 +471,8 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest header that any configuration allows.
 	maxHeaderBytes = 1 << 20
-	// queueLimit is the maximum number of requests queued for a worker.
+	// queueLimit is the maximum number of requests of one deployment that are queued for a
+	// worker.
 	queueLimit = 4096
 )
 
--- a/internal/node/composer/ports.go
+++ b/internal/node/composer/ports.go
@@ -84,8 +84,8 @@
 
 // Components are the components that a platform adds to a node.
 type Components struct {
-	// Queue holds queued requests; nil means that requests go to the workers in order
-	// of arrival.
+	// Queue holds queued requests; nil means that the deployments share the workers, and
+	// requests of each go to them in order of arrival.
 	Queue dispatcher.Queue
 	// Claims holds the claims of idempotency keys; nil if callers send none.
 	Claims dispatcher.Claims
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"expvar"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -149,8 +150,14 @@
 	unfinished []string
 	// begunReported says that the start of the request has been reported.
 	begunReported bool
+	// claimed is set by the worker that begins the request, or by its caller, who does not
+	// wait for one any more.
+	claimed atomic.Bool
 }
 
+// claim reports whether nobody else has claimed the job before.
+func (j *Job) claim() bool { return j.claimed.CompareAndSwap(false, true) }
+
 // Request returns the request of the job.
 func (j *Job) Request() carrier.Request { return j.request }
 
@@ -220,12 +227,25 @@
 		refused.Add(1)
 		return carrier.Result{Err: err}
 	}
+	select {
+	case result := <-job.done:
+		return result
+	case <-run.Done():
+	}
+	if job.claim() {
+		refused.Add(1)
+		return carrier.Result{Err: d.endReason(job, run.Err()).WithOutcome(coder.NotRun)}
+	}
 	// The worker always sends a result, and the writer is not used after it.
 	return <-job.done
 }
 
 // Handle serves the request of one job; the worker pool calls it.
 func (d *Dispatcher) Handle(ctx context.Context, job *Job) {
+	if !job.claim() {
+		d.Queue.Done(job, carrier.Result{Err: coder.Refuse(coder.DeadlinePassed, "the request has ended before a worker was free")})
+		return
+	}
 	result := d.runRecovered(job)
 	countOutcome(result)
 	d.recordDuration(job.request, result)
