--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -152,8 +152,8 @@
 	return d
 }
 
-// withEra returns a copy that knows the era of the store, of which this process has heard
-// since a time.
+// withEra returns a copy that knows the era of the store, which this process first read of
+// at a time.
 func (d duty) withEra(era uint64, since time.Time) duty {
 	if d.era != era && d.eraKnown {
 		d.eraSince = since
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -98,7 +98,8 @@
 	return pendingCommit{lease: c, sent: sent, expiresAt: sent.Add(times.Duration - times.Margin)}
 }
 
-// transaction returns the commit as a transaction, if the lease row has a version.
+// transaction returns the commit as a transaction that requires the lease row to have a
+// version.
 func (pc pendingCommit) transaction(name string, version transactor.Version) transactor.Tx {
 	content := encodeLease(pc.lease)
 	tx := transactor.Tx{}.WithCheck(RowKey(name), version).WithPut(RowKey(name), content)
--- a/internal/base/acceptor/acceptor.go
+++ b/internal/base/acceptor/acceptor.go
@@ -127,7 +127,6 @@
 			return
 		}
 		a.watcher = w
-		go w.run()
 	}
 	a.watcher.add(c)
 }
--- a/internal/base/acceptor/watch.go
+++ b/internal/base/acceptor/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 )
 
@@ -21,13 +22,14 @@
 	file  *os.File
 	// onClose is called once for each connection that its peer has closed.
 	onClose func(*conn)
+	running conc.WaitGroup
 
 	mu    sync.Mutex
 	last  uint64
 	conns map[uint64]*conn
 }
 
-// newCloseWatcher returns a watcher, whose run waits for closes.
+// newCloseWatcher returns a watcher that runs until it is closed.
 func newCloseWatcher(onClose func(*conn)) (*closeWatcher, error) {
 	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
@@ -37,7 +39,9 @@
 		_ = unix.Close(fd)
 		return nil, err
 	}
-	return &closeWatcher{epoll: fd, file: os.NewFile(uintptr(fd), "close-watcher"), onClose: onClose, conns: make(map[uint64]*conn)}, nil
+	w := &closeWatcher{epoll: fd, file: os.NewFile(uintptr(fd), "close-watcher"), onClose: onClose, conns: make(map[uint64]*conn)}
+	w.running.Go(w.run)
+	return w, nil
 }
 
 // add watches a connection until it is closed on this side and removed.
@@ -107,4 +111,8 @@
 	return w.conns[id]
 }
 
-func (w *closeWatcher) close() { _ = w.file.Close() }
+// close ends the watcher and returns when onClose is not called any more.
+func (w *closeWatcher) close() {
+	_ = w.file.Close()
+	w.running.Wait()
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -155,7 +155,7 @@
 	claimed atomic.Bool
 }
 
-// claim reports whether nobody else has claimed the job before.
+// claim claims the job, and reports whether it was unclaimed.
 func (j *Job) claim() bool { return j.claimed.CompareAndSwap(false, true) }
 
 // Request returns the request of the job.
