--- a/internal/request/sharer/sharer_test.go
+++ b/internal/request/sharer/sharer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -43,11 +44,13 @@
 type harness struct {
 	queue *sharer.Queue[*job]
 	stops []context.CancelFunc
+	jobs  int
+
+	mu sync.Mutex
 	// taken has the jobs in the order in which workers got them, running those that are
 	// not finished, each with what finishes it.
 	taken   []string
 	running map[string]chan struct{}
-	jobs    int
 }
 
 func (h *harness) run(t *testing.T, d *datadriven.TestData) string {
@@ -79,8 +82,7 @@
 		}
 	case "finish":
 		for _, a := range d.CmdArgs {
-			close(h.running[a.Key])
-			delete(h.running, a.Key)
+			h.finish(a.Key)
 			synctest.Wait()
 		}
 	case "stop":
@@ -88,6 +90,8 @@
 		h.stops = h.stops[1:]
 		synctest.Wait()
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if len(h.taken) > 0 {
 		out += strings.Join(h.taken, " ") + "\n"
 	}
@@ -95,6 +99,14 @@
 	return out
 }
 
+// finish lets the worker that has a job finish it.
+func (h *harness) finish(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.running[name])
+	delete(h.running, name)
+}
+
 func (h *harness) work(ctx context.Context) {
 	for {
 		j, ok := h.queue.Next(ctx)
@@ -102,7 +114,9 @@
 			return
 		}
 		end := make(chan struct{})
+		h.mu.Lock()
 		h.taken, h.running[j.name] = append(h.taken, j.name), end
+		h.mu.Unlock()
 		select {
 		case <-end:
 		case <-ctx.Done():
