--- a/internal/authority/leaser/grant.go
+++ b/internal/authority/leaser/grant.go
@@ -35,23 +35,6 @@
 	return tx.WithCheck(EpochKey(g.Duty), g.Epoch)
 }
 
-// tokenBits is the width of the count of takeovers in a fencing token; above it is the era
-// of the store in which the takeover was made. The count alone is lost with the store.
-const tokenBits = 32
-
-// nextToken returns the fencing token of a takeover in an era, given that of the lease row.
-func nextToken(row, era uint64) uint64 { return max(row+1, era<<tokenBits+1) }
-
-// tokenEra returns the era in which a fencing token was made.
-func tokenEra(token uint64) uint64 { return token >> tokenBits }
-
-// FirstOfEra reports whether the lease is the first that was taken in its era of the store,
-// if that has eras. Then the store may have lost what earlier holders had written.
-func (g Grant) FirstOfEra() bool {
-	era := tokenEra(g.Token)
-	return era > 0 && g.Token == nextToken(0, era)
-}
-
 // EpochKey returns the key of the row that a takeover writes.
 func EpochKey(duty string) string { return "lease-epoch/" + duty }
 
--- a/internal/authority/leaser/lease.go
+++ b/internal/authority/leaser/lease.go
@@ -133,53 +133,18 @@
 	return d
 }
 
-// rowLostSince returns since when this node has known that the lease row may be older than
-// the last lease: the store has begun an era, in which no lease was taken yet. The zero time
-// means that it is not so.
-func (d duty) rowLostSince() time.Time {
-	if tokenEra(d.row.token) == d.era || d.row.token == 0 && d.eraSince.IsZero() {
-		return time.Time{}
-	}
-	if d.rowSince.After(d.eraSince) {
-		return d.rowSince
-	}
-	return d.eraSince
-}
-
 // withInterruption returns a copy for which a call to the store failed without effect.
 func (d duty) withInterruption() duty {
 	d.interrupted = true
 	return d
 }
 
-// withEra returns a copy that knows the era of the store, which this process first read of
-// at a time.
-func (d duty) withEra(era uint64, since time.Time) duty {
-	if d.era != era && d.eraKnown {
-		d.eraSince = since
-	}
-	d.era, d.eraKnown = era, true
-	return d
-}
-
 // withTakeover returns a copy whose takeover is known to have taken effect.
 func (d duty) withTakeover(pc pendingCommit, version transactor.Version) duty {
 	d.held, d.takenAt = true, pc.sent
 	return d.withRenewal(pc, version)
 }
 
-// withRowLost returns a copy of a held lease whose row the store has lost, or has as it was
-// before; the next renewal writes it again.
-func (d duty) withRowLost(l lease, version transactor.Version) duty {
-	d.row.heartbeat = max(d.row.heartbeat, l.heartbeat)
-	d.version, d.pending = version, nil
-	return d
-}
-
-// epochLost reports whether the epoch row of a held lease is of another era than its lease
-// row.
-func (d duty) epochLost() bool { return d.epoch.Era() != d.version.Era() }
-
 // withRenewal returns a copy whose renewal is known to have taken effect.
 func (d duty) withRenewal(pc pendingCommit, version transactor.Version) duty {
 	d.row, d.version, d.rowKnown, d.pending = pc.lease, version, true, nil
--- a/internal/authority/leaser/leaser.go
+++ b/internal/authority/leaser/leaser.go
@@ -109,14 +109,6 @@
 	return tx
 }
 
-// era returns the newest era of the table that is known, and when it was first heard of.
-func (l *Leaser) era() (era uint64, since time.Time) {
-	if l.Era == nil {
-		return 0, time.Time{}
-	}
-	return l.Era()
-}
-
 // Grant returns the current lease of a duty; false if this node has none.
 func (l *Leaser) Grant(name string) (Grant, bool) {
 	d, ok := l.Duties.Get(name)
@@ -351,19 +343,6 @@
 	return d.withoutPending().withRow(row, version, now).withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
 }
 
-// keepOverEra returns the state of a held lease when the store has come back from an older
-// copy, whose row says nothing of the holders since. No other node takes a lease earlier than
-// Duration and Margin after its last renewal. If the era had begun by then, this node still
-// has the duty, and writes its row again.
-func (l *Leaser) keepOverEra(name string, d duty, row lease, version transactor.Version, now time.Time) duty {
-	if takeoverAt := d.expiresAt.Add(2 * l.times().Margin); d.eraSince.Before(takeoverAt) && row.token <= d.row.token {
-		l.Log.Info().Str("duty", name).Uint64("fencing-token", d.row.token).Uint64("era", d.era).Msg("lease kept; the store has come back from an older copy")
-		return d.withRowLost(row, version).withDueAt(now)
-	}
-	l.Log.Warn().Str("duty", name).Uint64("fencing-token", d.row.token).Uint64("era", d.era).Msg("lease lost; the store has come back from an older copy")
-	return d.withLoss().withRow(row, version, now).withDueAt(now.Add(l.jitter(l.times().RenewInterval)))
-}
-
 // checkHolder reads the lease of another process and takes it over once it has
 // ended.
 func (l *Leaser) checkHolder(ctx context.Context, name string, rank int, d duty) duty {
