--- a/internal/config/definer/config.go
+++ b/internal/config/definer/config.go
@@ -181,6 +181,9 @@
 // Deployments returns the deployments in the order of their names.
 func (c Config) Deployments() []Deployment { return sortedByKey(c.deployments) }
 
+// DeploymentCount returns the number of deployments.
+func (c Config) DeploymentCount() int { return len(c.deployments) }
+
 func sortedByKey[V any](m map[string]V) []V {
 	vs := make([]V, 0, len(m))
 	for _, k := range slices.Sorted(maps.Keys(m)) {
--- a/internal/node/composer/composer.go
+++ b/internal/node/composer/composer.go
@@ -386,7 +386,7 @@
 }
 
 // deploymentCount returns the number of deployments that requests are sent to.
-func (n *Node) deploymentCount() int { return len(n.config.Get().config.Deployments()) }
+func (n *Node) deploymentCount() int { return n.config.Get().config.DeploymentCount() }
 
 // Do processes a request and writes the response to w.
 func (n *Node) Do(ctx context.Context, r carrier.Request, w carrier.ResponseWriter) carrier.Result {
