runner: one hand-over to idle workers for both queues

request/sharer had written again what request/queuer does to hand a job to an idle worker and to take back one whose worker stops. runner.Idle serves both. No change of behaviour; the scripts of both queues pass with the race detector, three runs.

--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/base/timekeeper"
 	"foxtailflow.example/foxtailflow/internal/config/definer"
 	"foxtailflow.example/foxtailflow/internal/decision/admitter"
@@ -69,7 +70,7 @@
 	nodes       int
 	queued      int
 	running     map[J]runningJob
-	idleWorkers []chan J
+	idle        runner.Idle[J]
 	// expired holds the jobs to refuse once the lock is released.
 	expired []refusal[J]
 	timer   timekeeper.Timer
@@ -175,26 +176,11 @@
 // Next blocks until there is a job for a worker; it returns false once ctx is
 // done.
 func (q *Queue[J]) Next(ctx context.Context) (job J, ok bool) {
-	handover := make(chan J, 1)
 	q.mu.Lock()
-	q.idleWorkers = append(q.idleWorkers, handover)
+	handover := q.idle.Add()
 	q.handOut(q.Clock.Now())
 	q.unlockAndRefuse()
-	select {
-	case job = <-handover:
-		return job, true
-	case <-ctx.Done():
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for i, c := range q.idleWorkers {
-		if c == handover {
-			q.idleWorkers = append(q.idleWorkers[:i], q.idleWorkers[i+1:]...)
-			return job, false
-		}
-	}
-	// A job was handed over at the same time and must not be lost.
-	return <-handover, true
+	return q.idle.Await(ctx, &q.mu, handover)
 }
 
 // unlockAndRefuse releases the lock and refuses the jobs that cannot meet their
@@ -254,7 +240,7 @@
 // handOut hands jobs to idle workers and sets the timer for the earliest
 // deadline.
 func (q *Queue[J]) handOut(now time.Time) {
-	for len(q.idleWorkers) > 0 {
+	for q.idle.Any() {
 		item, dq, ok := q.takeNext(now)
 		if !ok {
 			break
@@ -267,14 +253,11 @@
 			q.expired = append(q.expired, refusal[J]{job: e.job, err: f})
 			continue
 		}
-		last := len(q.idleWorkers) - 1
-		handover := q.idleWorkers[last]
-		q.idleWorkers = q.idleWorkers[:last]
 		dq.running++
 		dq.limiter = dq.limiter.WithStarted(e.prefill)
 		q.running[e.job] = runningJob{account: item.Account, deployment: dq.deployment, work: e.work, tokens: e.tokens, output: e.output, at: now}
 		q.ledgers[item.Account] = q.ledgers[item.Account].WithStarted(now, e.work)
-		handover <- e.job
+		q.idle.HandOver(e.job)
 	}
 	q.setTimer(now)
 }
--- a/internal/request/sharer/sharer.go
+++ b/internal/request/sharer/sharer.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"foxtailflow.example/foxtailflow/internal/base/coder"
+	"foxtailflow.example/foxtailflow/internal/base/runner"
 	"foxtailflow.example/foxtailflow/internal/request/carrier"
 )
 
@@ -40,7 +41,7 @@
 	byName      map[string]*deployment[J]
 	lastServed  int
 	running     map[J]*deployment[J]
-	idleWorkers []chan J
+	idle        runner.Idle[J]
 }
 
 // deployment has the requests of one deployment.
@@ -78,35 +79,12 @@
 
 // Next blocks until there is a job for a worker; it returns false once ctx is done.
 func (q *Queue[J]) Next(ctx context.Context) (job J, ok bool) {
-	handover := make(chan J, 1)
 	deployments := q.Deployments()
 	q.mu.Lock()
-	q.idleWorkers = append(q.idleWorkers, handover)
+	handover := q.idle.Add()
 	q.handOutLocked(deployments)
 	q.mu.Unlock()
-	select {
-	case job = <-handover:
-		return job, true
-	case <-ctx.Done():
-	}
-	if q.leave(handover) {
-		return job, false
-	}
-	// A job was handed over at the same time and must not be lost.
-	return <-handover, true
-}
-
-// leave removes a worker, and reports whether it was idle.
-func (q *Queue[J]) leave(handover chan J) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for i, c := range q.idleWorkers {
-		if c == handover {
-			q.idleWorkers = append(q.idleWorkers[:i], q.idleWorkers[i+1:]...)
-			return true
-		}
-	}
-	return false
+	return q.idle.Await(ctx, &q.mu, handover)
 }
 
 // Done records that a worker has finished a job.
@@ -124,7 +102,7 @@
 // handOutLocked hands jobs to idle workers, visiting the deployments in rotation; their number
 // is that before the lock was taken.
 func (q *Queue[J]) handOutLocked(deployments int) {
-	for len(q.idleWorkers) > 0 {
+	for q.idle.Any() {
 		d := q.nextLocked(deployments)
 		if d == nil {
 			return
@@ -133,10 +111,7 @@
 		d.queued = d.queued[1:]
 		d.running++
 		q.running[job] = d
-		last := len(q.idleWorkers) - 1
-		handover := q.idleWorkers[last]
-		q.idleWorkers = q.idleWorkers[:last]
-		handover <- job
+		q.idle.HandOver(job)
 	}
 }
 
