--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,6 +9,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*world) (broken bool, err error){
 	"heads": runHeads,
+	"parts": runParts,
 }
 
 // main plays a case. It exits with 1 if the rule was broken, 0 if it held and 2 if the case
