--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"heads": runHeads,
 	"parts": runParts,
+	"flood": runFlood,
 }
 
 // main plays a case. It exits with 1 if the rule was broken, 0 if it held and 2 if the case
